--- /dev/null
+++ b/crates/proto/src/cbor.rs
@@ -0,0 +1,69 @@
+//! CBOR helpers. Amounts may come as integers or floats of any width, so every
+//! floating field goes through [`f64_lax`].
+
+use ciborium::Value;
+use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned, de::Error as _};
+
+/// A body that is not the CBOR that was expected.
+#[derive(Debug, thiserror::Error)]
+#[error("bad cbor: {0}")]
+pub struct CborError(String);
+
+/// Nesting allowed in a body: ours are flat, and recursion costs stack.
+const MAX_DEPTH: usize = 16;
+
+/// Decodes a body, refusing trailing bytes and deep nesting.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CborError> {
+    let mut rest = bytes;
+    let value = ciborium::de::from_reader_with_recursion_limit(&mut rest, MAX_DEPTH)
+        .map_err(|e| CborError(e.to_string()))?;
+    if rest.is_empty() {
+        Ok(value)
+    } else {
+        Err(CborError("trailing bytes".into()))
+    }
+}
+
+/// Encodes a body. Our types hold nothing that CBOR can't express.
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut out = Vec::with_capacity(256);
+    if let Err(e) = ciborium::into_writer(value, &mut out) {
+        debug_assert!(false, "unencodable body: {e}");
+        out.clear();
+    }
+    out
+}
+
+/// Turns a record into a CBOR value for the state service.
+pub fn to_value<T: Serialize>(value: &T) -> Value {
+    Value::serialized(value).unwrap_or(Value::Null)
+}
+
+/// Reads a record out of a value of the state service.
+pub fn from_value<T: DeserializeOwned>(value: &Value) -> Result<T, CborError> {
+    value.deserialized().map_err(|e| CborError(e.to_string()))
+}
+
+/// A number as `f64`, whatever its CBOR type.
+pub fn number(v: &Value) -> Option<f64> {
+    match v {
+        Value::Float(f) => Some(*f),
+        Value::Integer(i) => Some(i128::from(*i) as f64),
+        _ => None,
+    }
+}
+
+/// Serde helper: a float that may have been sent as an integer.
+pub fn f64_lax<'de, D: Deserializer<'de>>(d: D) -> Result<f64, D::Error> {
+    let v = Value::deserialize(d)?;
+    number(&v).ok_or_else(|| D::Error::custom("expected a number"))
+}
+
+/// Serde helper: as [`f64_lax`], null or absent allowed.
+pub fn opt_f64_lax<'de, D: Deserializer<'de>>(d: D) -> Result<Option<f64>, D::Error> {
+    let v = Value::deserialize(d)?;
+    match v {
+        Value::Null => Ok(None),
+        v => number(&v).map(Some).ok_or_else(|| D::Error::custom("expected a number or null")),
+    }
+}
--- /dev/null
+++ b/crates/proto/src/intset.rs
@@ -0,0 +1,140 @@
+//! Compact sets of task numbers, as kept in progress records.
+
+use serde::{Deserialize, Serialize};
+
+/// A set of `u32` as sorted, disjoint, non-adjacent inclusive ranges.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct IntSet {
+    ranges: Vec<(u32, u32)>,
+}
+
+impl IntSet {
+    /// The empty set.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Whether `n` is in the set.
+    pub fn contains(&self, n: u32) -> bool {
+        let i = self.ranges.partition_point(|&(_, hi)| hi < n);
+        self.ranges.get(i).is_some_and(|&(lo, _)| lo <= n)
+    }
+
+    /// Adds `n`; true if it was not there.
+    pub fn insert(&mut self, n: u32) -> bool {
+        let i = self.ranges.partition_point(|&(_, hi)| hi < n);
+        if self.ranges.get(i).is_some_and(|&(lo, _)| lo <= n) {
+            return false;
+        }
+        let joins_left = i > 0 && self.ranges[i - 1].1 + 1 == n;
+        let joins_right = self.ranges.get(i).is_some_and(|&(lo, _)| n + 1 == lo);
+        match (joins_left, joins_right) {
+            (true, true) => {
+                self.ranges[i - 1].1 = self.ranges[i].1;
+                self.ranges.remove(i);
+            }
+            (true, false) => self.ranges[i - 1].1 = n,
+            (false, true) => self.ranges[i].0 = n,
+            (false, false) => self.ranges.insert(i, (n, n)),
+        }
+        true
+    }
+
+    /// How many numbers are in the set.
+    pub fn len(&self) -> u32 {
+        self.ranges.iter().map(|&(lo, hi)| hi - lo + 1).sum()
+    }
+
+    /// Whether nothing is in the set.
+    pub fn is_empty(&self) -> bool {
+        self.ranges.is_empty()
+    }
+
+    /// All numbers in order.
+    pub fn iter(&self) -> impl Iterator<Item = u32> + '_ {
+        self.ranges.iter().flat_map(|&(lo, hi)| lo..=hi)
+    }
+}
+
+/// The stored form of a part of a set: ranges while they are few, else a bit
+/// map in words of 32, so that a part never outgrows a value of the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Default)]
+pub struct PackedSet {
+    /// Range bounds, first and last alternating, relative to the part's start.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub r: Vec<u32>,
+    /// Bit map words.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub b: Vec<u32>,
+}
+
+impl PackedSet {
+    /// Packs the numbers of `set` within `[start, start + len)`.
+    pub fn pack(set: &IntSet, start: u32, len: u32) -> Self {
+        let end = start.saturating_add(len);
+        let inside: Vec<(u32, u32)> = set
+            .ranges
+            .iter()
+            .filter(|&&(lo, hi)| hi >= start && lo < end)
+            .map(|&(lo, hi)| (lo.max(start) - start, hi.min(end - 1) - start))
+            .collect();
+        let words = len.div_ceil(32) as usize;
+        if inside.len() * 2 <= words {
+            return Self { r: inside.iter().flat_map(|&(a, b)| [a, b]).collect(), b: Vec::new() };
+        }
+        let mut b = vec![0u32; words];
+        for n in inside.iter().flat_map(|&(lo, hi)| lo..=hi) {
+            b[(n / 32) as usize] |= 1 << (n % 32);
+        }
+        Self { r: Vec::new(), b }
+    }
+
+    /// Adds the packed numbers to `set`. Nonsense ranges are skipped.
+    pub fn unpack(&self, start: u32, len: u32, set: &mut IntSet) {
+        for pair in self.r.chunks_exact(2) {
+            if pair[0] <= pair[1] && pair[1] < len {
+                (pair[0]..=pair[1]).for_each(|n| {
+                    set.insert(start + n);
+                });
+            }
+        }
+        for (w, bits) in self.b.iter().enumerate() {
+            for i in (0..32).filter(|i| bits & (1 << i) != 0) {
+                let n = w as u32 * 32 + i;
+                if n < len {
+                    set.insert(start + n);
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeSet;
+
+    proptest! {
+        #[test]
+        fn behaves_as_a_set_and_survives_packing(
+            ns in proptest::collection::vec(0u32..300, 0..200)
+        ) {
+            let mut set = IntSet::new();
+            let mut model = BTreeSet::new();
+            for n in ns {
+                prop_assert_eq!(set.insert(n), model.insert(n));
+            }
+            prop_assert_eq!(set.iter().collect::<Vec<_>>(), model.iter().copied().collect::<Vec<_>>());
+            prop_assert_eq!(set.len() as usize, model.len());
+            for n in 0..300 {
+                prop_assert_eq!(set.contains(n), model.contains(&n));
+            }
+            let mut back = IntSet::new();
+            for start in [0u32, 128, 256] {
+                PackedSet::pack(&set, start, 128).unpack(start, 128, &mut back);
+            }
+            prop_assert_eq!(back, set);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proto/src/job.rs
@@ -0,0 +1,276 @@
+//! A job as its user describes it, and the checks a submission must pass.
+
+use crate::cbor;
+use crate::ids::JobId;
+use ciborium::Value;
+use serde::{Deserialize, Serialize};
+
+/// The most tasks a job may have (protocol page).
+pub const MAX_TASKS: u32 = 100_000;
+/// Longest class, team, type, zone or image name we take: they are copied into
+/// records, and a record must fit a value of the store.
+const MAX_NAME: usize = 200;
+/// Most machine types a job may list.
+const MAX_TYPES: usize = 64;
+
+/// Whether tasks end by themselves.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+pub enum Kind {
+    /// Independent tasks, each runs to completion.
+    #[serde(rename = "sweep")]
+    Array,
+    /// Independent tasks that only run together.
+    #[serde(rename = "gang")]
+    Gang,
+    /// Replicas that run until cancelled.
+    #[serde(rename = "daemon")]
+    Service,
+}
+
+/// A job's priority, lowest first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+pub enum Priority {
+    /// Runs when nothing else wants the room.
+    #[serde(rename = "idle")]
+    Low,
+    /// The usual one.
+    #[serde(rename = "standard")]
+    Normal,
+    /// Above the usual.
+    #[serde(rename = "high")]
+    High,
+    /// Above all others.
+    #[serde(rename = "production")]
+    Production,
+}
+
+/// A submission that passed validation; also the stored spec record.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// Unique id.
+    #[serde(rename = "ref")]
+    pub id: JobId,
+    /// Class, as the aims name it.
+    #[serde(rename = "lot")]
+    pub class: String,
+    /// Team that guarantee and limit belong to.
+    #[serde(rename = "crew")]
+    pub team: String,
+    /// Array or service.
+    #[serde(rename = "shape")]
+    pub kind: Kind,
+    /// Priority.
+    #[serde(rename = "rank")]
+    pub priority: Priority,
+    /// Number of tasks.
+    #[serde(rename = "pieces")]
+    pub tasks: u32,
+    /// CPUs of a task.
+    #[serde(rename = "vcpus", deserialize_with = "cbor::f64_lax")]
+    pub cpus: f64,
+    /// GPUs of a task.
+    #[serde(rename = "cards", deserialize_with = "cbor::f64_lax")]
+    pub gpus: f64,
+    /// Memory of a task, GB.
+    #[serde(rename = "mem_gb", deserialize_with = "cbor::f64_lax")]
+    pub memory_gb: f64,
+    /// Image a machine must have.
+    #[serde(rename = "mould")]
+    pub image: String,
+    /// Its size, GB.
+    #[serde(rename = "size_gb", deserialize_with = "cbor::f64_lax")]
+    pub image_gb: f64,
+    /// Machine types allowed; none given means any.
+    #[serde(rename = "builds", default)]
+    pub types: Option<Vec<String>>,
+    /// The only zone allowed.
+    #[serde(rename = "quarter", default)]
+    pub zone: Option<String>,
+    /// All tasks in one zone.
+    #[serde(rename = "together")]
+    pub one_zone: bool,
+    /// At most half of the tasks, rounded up, in a zone.
+    pub spread: bool,
+    /// May use spot machines.
+    #[serde(rename = "loaners")]
+    pub spot: bool,
+    /// The owner's estimate of a task's run time, seconds.
+    #[serde(rename = "guess_s", deserialize_with = "cbor::f64_lax")]
+    pub estimate_s: f64,
+    /// Progress between checkpoints, seconds; 0: never saves.
+    #[serde(rename = "mark_s", deserialize_with = "cbor::f64_lax")]
+    pub checkpoint_s: f64,
+    /// Time a stopped task needs to save, seconds.
+    #[serde(rename = "stow_s", deserialize_with = "cbor::f64_lax")]
+    pub save_s: f64,
+    /// When it should be complete, seconds after submission.
+    #[serde(rename = "due_s", default, deserialize_with = "cbor::opt_f64_lax")]
+    pub deadline_s: Option<f64>,
+}
+
+/// Why a submission is malformed.
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum BadJob {
+    /// Not CBOR or not a map.
+    #[error("body is not a cbor map")]
+    NotAMap,
+    /// A field is absent or has a wrong type or value.
+    #[error("field {0} is missing or invalid")]
+    Field(&'static str),
+}
+
+struct Fields<'a>(&'a [(Value, Value)]);
+
+impl<'a> Fields<'a> {
+    fn get(&self, name: &str) -> Option<&'a Value> {
+        self.0.iter().find(|(k, _)| k.as_text() == Some(name)).map(|(_, v)| v)
+    }
+    fn optional(&self, name: &str) -> Option<&'a Value> {
+        self.get(name).filter(|v| !v.is_null())
+    }
+    fn text(&self, name: &'static str) -> Result<String, BadJob> {
+        let t = self.get(name).and_then(Value::as_text).ok_or(BadJob::Field(name))?;
+        if t.is_empty() || t.len() > MAX_NAME { Err(BadJob::Field(name)) } else { Ok(t.to_owned()) }
+    }
+    fn amount(&self, name: &'static str) -> Result<f64, BadJob> {
+        let n = self.get(name).and_then(cbor::number).ok_or(BadJob::Field(name))?;
+        if n.is_finite() && n >= 0.0 { Ok(n) } else { Err(BadJob::Field(name)) }
+    }
+    fn flag(&self, name: &'static str) -> Result<bool, BadJob> {
+        self.get(name).and_then(Value::as_bool).ok_or(BadJob::Field(name))
+    }
+    fn choice<T: serde::de::DeserializeOwned>(&self, name: &'static str) -> Result<T, BadJob> {
+        let v = self.get(name).filter(|v| v.is_text()).ok_or(BadJob::Field(name))?;
+        v.deserialized().map_err(|_| BadJob::Field(name))
+    }
+}
+
+impl JobSpec {
+    /// Checks a submission's body.
+    pub fn parse(body: &[u8]) -> Result<Self, BadJob> {
+        let value: Value = cbor::decode(body).map_err(|_| BadJob::NotAMap)?;
+        let f = Fields(value.as_map().ok_or(BadJob::NotAMap)?);
+        let id = f.text("ref")?;
+        if !JobId::well_formed(&id) {
+            return Err(BadJob::Field("ref"));
+        }
+        let tasks = f
+            .get("pieces")
+            .and_then(Value::as_integer)
+            .and_then(|i| u32::try_from(i).ok())
+            .filter(|n| (1..=MAX_TASKS).contains(n))
+            .ok_or(BadJob::Field("pieces"))?;
+        let types = match f.optional("builds") {
+            None => None,
+            Some(v) => {
+                let list = v.as_array().ok_or(BadJob::Field("builds"))?;
+                let names: Option<Vec<String>> = list
+                    .iter()
+                    .map(|t| t.as_text().filter(|t| t.len() <= MAX_NAME).map(str::to_owned))
+                    .collect();
+                Some(names.filter(|n| n.len() <= MAX_TYPES).ok_or(BadJob::Field("builds"))?)
+            }
+        };
+        let zone = f.optional("quarter").map(|_| f.text("quarter")).transpose()?;
+        let deadline_s = f.optional("due_s").map(|_| f.amount("due_s")).transpose()?;
+        Ok(Self {
+            id: JobId::new(&id),
+            class: f.text("lot")?,
+            team: f.text("crew")?,
+            kind: f.choice("shape")?,
+            priority: f.choice("rank")?,
+            tasks,
+            cpus: f.amount("vcpus")?,
+            gpus: f.amount("cards")?,
+            memory_gb: f.amount("mem_gb")?,
+            image: f.text("mould")?,
+            image_gb: f.amount("size_gb")?,
+            types,
+            zone,
+            one_zone: f.flag("together")?,
+            spread: f.flag("spread")?,
+            spot: f.flag("loaners")?,
+            estimate_s: f.amount("guess_s")?,
+            checkpoint_s: f.amount("mark_s")?,
+            save_s: f.amount("stow_s")?,
+            deadline_s,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    /// The protocol page's example, as a CBOR map.
+    fn example() -> Vec<(Value, Value)> {
+        let t = |s: &str| Value::Text(s.into());
+        let f = Value::Float;
+        [
+            ("ref", t("req-000412")), ("lot", t("train")), ("crew", t("vision")),
+            ("shape", t("sweep")), ("rank", t("high")), ("pieces", Value::from(16)),
+            ("vcpus", f(8.0)), ("cards", Value::from(1)), ("mem_gb", f(64.0)),
+            ("mould", t("img-07")), ("size_gb", f(6.2)),
+            ("builds", Value::Array(vec![t("g8")])), ("quarter", Value::Null),
+            ("together", Value::Bool(true)), ("spread", Value::Bool(false)),
+            ("loaners", Value::Bool(true)), ("guess_s", f(240.0)), ("mark_s", f(30.0)),
+            ("stow_s", f(4.0)), ("due_s", f(900.0)), ("unheard_of", t("x")),
+        ]
+        .into_iter()
+        .map(|(k, v)| (t(k), v))
+        .collect()
+    }
+
+    fn parse(m: Vec<(Value, Value)>) -> Result<JobSpec, BadJob> {
+        JobSpec::parse(&cbor::encode(&Value::Map(m)))
+    }
+
+    #[test]
+    fn takes_the_example_and_survives_the_store() {
+        let spec = parse(example()).expect("valid");
+        assert_eq!((spec.tasks, spec.gpus, spec.zone.clone()), (16, 1.0, None));
+        let back: JobSpec = cbor::from_value(&cbor::to_value(&spec)).expect("round trip");
+        assert_eq!(back, spec);
+    }
+
+    #[test]
+    fn refuses_each_missing_or_bad_field() {
+        for (i, (name, _)) in example().iter().enumerate() {
+            let name = name.as_text().expect("text").to_owned();
+            let mut m = example();
+            m.remove(i);
+            let optional = ["builds", "quarter", "due_s", "unheard_of"].contains(&name.as_str());
+            assert_eq!(parse(m).is_ok(), optional, "without {name}");
+            if name == "unheard_of" {
+                continue;
+            }
+            for bad in [Value::Float(f64::NAN), Value::from(-1), Value::Map(vec![])] {
+                let mut m = example();
+                m[i].1 = bad;
+                assert!(parse(m).is_err(), "bad {name}");
+            }
+        }
+        for n in [0i64, 100_001, i64::MAX] {
+            let mut m = example();
+            m[5].1 = Value::from(n);
+            assert_eq!(parse(m), Err(BadJob::Field("pieces")));
+        }
+    }
+
+    proptest! {
+        #[test]
+        fn hostile_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+            let _ = JobSpec::parse(&bytes);
+        }
+
+        #[test]
+        fn damaged_bodies_never_panic(at in 0usize..400, byte in any::<u8>(), cut in 0usize..400) {
+            let mut body = cbor::encode(&Value::Map(example()));
+            let at = at % body.len();
+            body[at] = byte;
+            body.truncate(body.len() - cut % body.len());
+            let _ = JobSpec::parse(&body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proto/src/records.rs
@@ -0,0 +1,129 @@
+//! Keys and records in the state service.
+//!
+//! `w/` is what every controller watches: the leader key, specs of unfinished
+//! jobs and cancel marks. `end/` holds each job's last word, written once.
+//! `p/` is progress, written by the leader alone; `m/` the machines it used.
+
+use crate::ids::{JobId, MachineId, NodeId};
+use crate::intset::PackedSet;
+use serde::{Deserialize, Serialize};
+
+/// Prefix of all that is watched.
+pub const WATCHED: &str = "w/";
+/// The leader key, attached to the leader's grant.
+pub const LEADER: &str = "w/lead";
+/// The term counter, which outlives the leader key.
+pub const TERM: &str = "term";
+/// The machine types, for starts while the cloud is down.
+pub const TYPES: &str = "w/types";
+/// Prefix of specs.
+pub const SPECS: &str = "w/spec/";
+/// Prefix of cancel marks.
+pub const CUTS: &str = "w/cut/";
+/// Prefix of last words.
+pub const ENDS: &str = "end/";
+/// Prefix of progress.
+pub const PROGRESS: &str = "p/";
+/// Prefix of machine records.
+pub const MACHINES: &str = "m/";
+
+/// Tasks per progress record: two bit maps of this many bits stay far below
+/// the smallest value limit.
+pub const PART_TASKS: u32 = 8192;
+
+/// Key of a job's spec.
+pub fn spec_key(id: &JobId) -> String {
+    format!("{SPECS}{id}")
+}
+/// Key of a job's cancel mark.
+pub fn cut_key(id: &JobId) -> String {
+    format!("{CUTS}{id}")
+}
+/// Key of a job's last word.
+pub fn end_key(id: &JobId) -> String {
+    format!("{ENDS}{id}")
+}
+/// Key of part `part` of a job's progress.
+pub fn progress_key(id: &JobId, part: u32) -> String {
+    format!("{PROGRESS}{id}/{part:03}")
+}
+/// Key of a machine record.
+pub fn machine_key(id: &MachineId) -> String {
+    format!("{MACHINES}{id}")
+}
+/// Reads a progress key.
+pub fn parse_progress_key(key: &str) -> Option<(JobId, u32)> {
+    let (job, part) = key.strip_prefix(PROGRESS)?.rsplit_once('/')?;
+    Some((JobId::new(job), part.parse().ok()?))
+}
+
+/// Who leads.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LeaderRecord {
+    /// The controller.
+    pub node: NodeId,
+    /// Its term.
+    pub term: u64,
+    /// Its grant.
+    pub grant: u64,
+    /// Distinguishes this process from an earlier one of the same name.
+    pub boot: u64,
+}
+
+/// The last term given out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TermRecord {
+    /// The term.
+    pub term: u64,
+}
+
+/// A job's last word.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndRecord {
+    /// True if cancelled, false if done.
+    pub cancelled: bool,
+    /// Number of tasks, for display.
+    pub tasks: u32,
+}
+
+/// A stored spec: the submission and when it was accepted.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SpecRecord {
+    /// The submission.
+    pub spec: crate::job::JobSpec,
+    /// Time of day of acceptance, milliseconds since 1970, for the deadline.
+    pub at_ms: u64,
+}
+
+/// A part of a job's progress.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ProgressRecord {
+    /// Tasks that may have been started.
+    #[serde(default)]
+    pub started: PackedSet,
+    /// Tasks that completed.
+    #[serde(default)]
+    pub finished: PackedSet,
+    /// Mean task run time so far, milliseconds; 0: unknown. In part 0 only.
+    #[serde(default)]
+    pub mean_ms: u64,
+    /// The queue the job was sorted into. In part 0 only.
+    #[serde(default)]
+    pub queue: Option<u8>,
+}
+
+/// A machine that has been given tasks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// Its type.
+    pub kind: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it is a spot machine.
+    pub spot: bool,
+    /// Where its worker listens.
+    pub addr: String,
+    /// Images it is thought to hold, most recent last.
+    #[serde(default)]
+    pub images: Vec<String>,
+}
