--- /dev/null
+++ b/crates/core/src/consts.rs
@@ -0,0 +1,173 @@
+//! Every constant of the scheduler, with unit and reason. What the settings
+//! tell (report interval, worker lease, rates, limits) is read there instead.
+
+// --- election -------------------------------------------------------------
+
+/// Grant of the leader key, milliseconds: short, so that a dead leader is
+/// replaced soon; long enough for a slow answer of the state service (a few
+/// hundred ms) and a processor stall.
+pub const GRANT_MS: u64 = 3_000;
+/// Seconds between touches: five tries within a grant.
+pub const TOUCH_EVERY_S: f64 = 0.6;
+/// Taken off a grant's certain life, seconds: owner-queue delay between the
+/// authority check and the bytes leaving.
+pub const GRANT_MARGIN_S: f64 = 0.25;
+/// Clock drift allowed for, as a fraction: the protocol's 0.05% between two
+/// clocks, doubled.
+pub const DRIFT: f64 = 0.001;
+/// How long a pledge not to stand lasts, seconds. A fresh process waits this
+/// long before standing, so it must stay short.
+pub const PLEDGE_S: f64 = 4.0;
+/// How often the leader asks for pledges while the store refuses it, seconds.
+pub const PLEDGE_EVERY_S: f64 = 0.7;
+/// Most that followers wait apart before standing, seconds, so that they
+/// seldom collide.
+pub const STAND_SPREAD_S: f64 = 0.15;
+/// Wait after a failed attempt to stand, seconds.
+pub const STAND_RETRY_S: f64 = 0.4;
+
+// --- state service --------------------------------------------------------
+
+/// Consecutive failures after which the store counts as refusing us.
+pub const STORE_BAD_AFTER: u32 = 2;
+/// A controller without other traffic looks at the store this often, seconds.
+pub const STORE_PROBE_S: f64 = 1.0;
+/// Share of the store's change rate that the leader's records may take; the
+/// rest is for submissions and cancels at any controller.
+pub const LEADER_WRITE_SHARE: f64 = 0.6;
+/// Share of the store's request rate for the checks behind polls, over all
+/// controllers.
+pub const POLL_CHECK_SHARE: f64 = 0.3;
+/// Least time between two record transactions, seconds: a few batches a second.
+pub const FLUSH_EVERY_S: f64 = 0.05;
+/// Wait before repeating a refused store request, seconds.
+pub const STORE_RETRY_S: f64 = 0.25;
+/// Keys asked for in a page: fits the service's 512 KiB answers and our memory.
+pub const PAGE_LIMIT: u32 = 200;
+/// Conditions of a transaction per change allowed (protocol page).
+pub const CONDS_PER_OP: usize = 4;
+/// Bytes of encoded values in a transaction: below the 64 KiB body limit, with
+/// room for conditions and for JSON being longer than CBOR.
+pub const TXN_BYTES: usize = 24 * 1024;
+
+// --- users ----------------------------------------------------------------
+
+/// Submissions and cancels waiting for the store at once; more are told to
+/// come back. A second's worth at the store's usual speed.
+pub const USER_WRITES_MAX: usize = 24;
+/// Polls waiting at once; more are told to come back. 
+pub const POLLS_MAX: usize = 400;
+/// Retry-After given when the store can't be reached, seconds: an outage ends
+/// unannounced, and this is the least that users wait anyway.
+pub const RETRY_STORE_S: u32 = 1;
+/// Retry-After given when this controller is too full, seconds.
+pub const RETRY_FULL_S: u32 = 2;
+/// Final answers remembered; the rest are read from the store.
+pub const FINALS_KEPT: usize = 2_000;
+/// How often the leader shows the followers progress, seconds: status may lag
+/// three seconds, and this is for display only.
+pub const PROGRESS_EVERY_S: f64 = 1.0;
+/// How often controllers beat to each other, seconds.
+pub const BEAT_EVERY_S: f64 = 1.0;
+/// A peer's word on the store is believed for this long, seconds.
+pub const BEAT_FRESH_S: f64 = 2.5;
+
+// --- workers --------------------------------------------------------------
+
+/// Added to a worker's lease before its tasks count as gone, seconds: our
+/// answer may leave a little after its time was noted.
+pub const LEASE_MARGIN_S: f64 = 0.5;
+/// A machine unheard for this many report intervals gets no new tasks.
+pub const SILENT_REPORTS: f64 = 2.5;
+/// After a direct command failed, reports carry the commands for this long,
+/// seconds.
+pub const DIRECT_BACKOFF_S: f64 = 3.0;
+/// Direct commands under way at once, over all machines.
+pub const DIRECT_MAX: usize = 24;
+/// Commands in one message: an answer stays far below 64 KiB.
+pub const COMMANDS_MAX: usize = 200;
+/// Task failures on a machine, with no success between, after which it gets no
+/// more work: mostly the machine is faulty.
+pub const MACHINE_ERRORS: u32 = 3;
+/// First wait before a failed task is tried again, seconds; doubles.
+pub const ERROR_BACKOFF_S: f64 = 0.5;
+/// Longest such wait, seconds.
+pub const ERROR_BACKOFF_MAX_S: f64 = 20.0;
+/// Wait before a refused task is tried again, seconds.
+pub const REFUSED_BACKOFF_S: f64 = 0.5;
+/// Different machines on which a job must have failed, with no success, to be
+/// taken for one submitted with a mistake.
+pub const BAD_JOB_MACHINES: usize = 2;
+/// Tasks that a job taken for mistaken may have under way at once.
+pub const BAD_JOB_TASKS: usize = 1;
+/// A machine whose tasks take this many times their jobs' mean is slow.
+pub const SLOW_FACTOR: f64 = 2.2;
+/// Tasks that must say so in a row.
+pub const SLOW_SAMPLES: u32 = 3;
+
+// --- sizing and queues (the paper's, section 5) -----------------------------
+
+/// Jobs with fewer tasks are thin and skip sampling.
+pub const THIN_LIMIT: u32 = 3;
+/// Share of a wide job's tasks that are pilots.
+pub const PILOT_SHARE: f64 = 0.03;
+/// Number of queues.
+pub const QUEUES: usize = 10;
+/// Upper bound of the top queue, task-seconds.
+pub const TOP_BOUND_S: f64 = 1_000.0;
+/// Each bound is this many times the one before; weights fall by it too.
+pub const QUEUE_GROWTH: f64 = 10.0;
+/// The queue pilots run from.
+pub const PILOT_QUEUE: usize = 1;
+/// Finished tasks after which the mean is no longer refined: it has settled.
+pub const MEAN_SAMPLES: u32 = 64;
+/// Tasks recorded as started ahead of need in one write, so that a machine
+/// coming free need not wait for the store. A new leader must only prove of
+/// these too that they don't run.
+pub const START_AHEAD: u32 = 16;
+/// A job with less slack than this many seconds goes before its queue.
+pub const URGENT_SLACK_S: f64 = 15.0;
+/// Least time between two placement passes, seconds.
+pub const PLACE_EVERY_S: f64 = 0.04;
+/// A placement pass without cause, seconds: backoffs end, slack shrinks.
+pub const PLACE_IDLE_S: f64 = 0.5;
+
+// --- fleet ----------------------------------------------------------------
+
+/// How often the machine list is read, seconds; slower than the cloud's lag
+/// would need, quicker than boots end.
+pub const LIST_EVERY_S: f64 = 3.0;
+/// How often machine types (and spot prices) are read, seconds.
+pub const TYPES_EVERY_S: f64 = 60.0;
+/// How often renting and returning is thought over, seconds.
+pub const FLEET_EVERY_S: f64 = 0.5;
+/// An idle machine is returned after this long, seconds: about a boot and a
+/// fetch, since a machine returned costs its next renter that.
+pub const IDLE_S: f64 = 30.0;
+/// A machine costs this long at least (protocol page), seconds.
+pub const LEAST_BILL_S: f64 = 60.0;
+/// A boot of more than this many times the usual is given up.
+pub const BOOT_GIVE_UP: f64 = 4.0;
+/// A zone that had no capacity isn't asked again for this long, seconds.
+pub const NO_CAPACITY_S: f64 = 15.0;
+/// Machines in one rental request: small, to spread over zones.
+pub const RENT_MAX: u32 = 8;
+/// Machines in one release (protocol page: 100).
+pub const RELEASE_MAX: usize = 50;
+/// How long a released machine's name is remembered, in list lags.
+pub const TOMB_LAGS: f64 = 20.0;
+/// Part of the cloud's request rate that is used.
+pub const CLOUD_SHARE: f64 = 0.8;
+/// Wait after a failed cloud request, seconds.
+pub const CLOUD_RETRY_S: f64 = 1.0;
+/// Arrivals are averaged over this long, seconds, for the warm reserve.
+pub const RATE_WINDOW_S: f64 = 60.0;
+/// Spare service places kept, as a multiple of the arrivals expected while a
+/// machine boots and fetches.
+pub const WARM_FACTOR: f64 = 1.0;
+/// Service places kept spare at least, while services have been seen.
+pub const WARM_MIN: f64 = 1.0;
+/// Waves in which a job's waiting tasks may run if its deadline leaves time.
+pub const WAVES_MAX: f64 = 3.0;
+/// Run time assumed for a task nobody knows anything of, seconds.
+pub const DEFAULT_RUN_S: f64 = 30.0;
--- /dev/null
+++ b/crates/core/src/desk.rs
@@ -0,0 +1,376 @@
+//! Users' requests, answered the same way on every controller.
+//!
+//! A job's last word (`end/`) is written once, by whoever comes first: the
+//! leader with *done* or any controller with *cancelled*. Before a user is told
+//! anything else, the store confirms in a transaction without changes that no
+//! last word exists; many polls share one such check. So no answer is ever
+//! older than one that any controller gave before.
+
+use crate::consts::*;
+use crate::event::{Answer, OpId, Out, ReplyTo, Secs, StoreRequest, StoreResult, UserRequest};
+use crate::facts::Facts;
+use crate::replica::Replica;
+use marblebarrow_proto::cbor::{from_value, to_value};
+use marblebarrow_proto::ids::JobId;
+use marblebarrow_proto::job::{JobSpec, Kind};
+use marblebarrow_proto::records::{EndRecord, SpecRecord, cut_key, end_key, spec_key};
+use marblebarrow_proto::wire::{Cond, JobStatus, MachineType, Stage, Txn, Write};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+#[derive(Debug)]
+enum Pending {
+    /// A check behind polls: who asked for what, and whether the job was known
+    /// when the check was sent (what it proves depends on that).
+    Check(Vec<(JobId, ReplyTo, bool)>),
+    /// The transaction of a submission.
+    Submit(JobId, ReplyTo),
+    /// Reads the spec's version for a cancel.
+    CutRead(JobId, ReplyTo),
+    /// The transaction of a cancel.
+    Cut(JobId, ReplyTo, u32),
+    /// Reads a last word.
+    End(JobId, ReplyTo, Absent),
+}
+
+/// What it means that a job has no last word.
+#[derive(Debug, Clone, Copy)]
+enum Absent {
+    /// The job is known, so it is unfinished.
+    Open,
+    /// There was no spec either, so the job never was: the last word is
+    /// written in the transaction that removes the spec.
+    Never,
+    /// Neither: let the user ask again.
+    Unclear,
+}
+
+/// The desk.
+#[derive(Debug, Default)]
+pub struct Desk {
+    pending: HashMap<OpId, Pending>,
+    polls: VecDeque<(JobId, ReplyTo)>,
+    check_running: bool,
+    next_check: Secs,
+    writes: usize,
+    finals: HashMap<JobId, EndRecord>,
+    finals_order: VecDeque<JobId>,
+    /// Done and running tasks of unfinished jobs, for display.
+    pub progress: BTreeMap<JobId, (u32, u32)>,
+}
+
+/// What a request needs to know of its surroundings.
+pub struct Around<'a> {
+    /// Now.
+    pub now: Secs,
+    /// Time of day, milliseconds since 1970.
+    pub wall_ms: u64,
+    /// The settings.
+    pub facts: &'a Facts,
+    /// The watched keys.
+    pub replica: &'a Replica,
+    /// Machine types, if known.
+    pub types: Option<&'a [MachineType]>,
+    /// Whether the store has been refusing us.
+    pub store_bad: bool,
+}
+
+/// Why a job can never run, if so.
+pub fn never_runs(spec: &JobSpec, facts: &Facts, types: &[MachineType]) -> Option<&'static str> {
+    let Some(team) = facts.teams.iter().find(|t| t.name == spec.team) else {
+        return Some("unknown team");
+    };
+    let fits = types.iter().any(|t| type_allows(spec, t));
+    if !fits {
+        return Some("no allowed machine type holds a task");
+    }
+    // A service needs all its replicas at once.
+    let at_once = if spec.kind == Kind::Array { 1.0 } else { f64::from(spec.tasks) };
+    let over = |need: f64, limit: f64| limit > 0.0 && need * at_once > limit + 1e-9;
+    if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
+        return Some("more than the team's limit");
+    }
+    None
+}
+
+/// Whether a machine type may hold a task of a job.
+pub fn type_allows(spec: &JobSpec, t: &MachineType) -> bool {
+    spec.types.as_ref().is_none_or(|l| l.contains(&t.name))
+        && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+        && spec.cpus <= t.cpus + 1e-9
+        && spec.gpus <= t.gpus + 1e-9
+        && spec.memory_gb <= t.memory_gb + 1e-9
+        && spec.image_gb <= t.cache_gb + 1e-9
+}
+
+impl Desk {
+    /// A user asks.
+    pub fn ask(&mut self, a: &Around<'_>, to: ReplyTo, req: UserRequest, out: &mut Out) {
+        match req {
+            UserRequest::Submit(spec) => self.submit(a, to, *spec, out),
+            UserRequest::Poll(id) => self.poll(a, to, id, out),
+            UserRequest::Cancel(id) => self.cancel(a, to, id, out),
+            UserRequest::Health => {}
+        }
+    }
+
+    fn submit(&mut self, a: &Around<'_>, to: ReplyTo, spec: JobSpec, out: &mut Out) {
+        if let Some(end) = self.finals.get(&spec.id) {
+            return out.reply(to, Answer::Job(200, final_status(&spec.id, end)));
+        }
+        if a.store_bad || !a.replica.synced {
+            return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
+        }
+        if a.replica.specs.contains_key(&spec.id) {
+            // Known: an accepted job is never refused, whatever it says now.
+            return self.read_end(spec.id, to, Absent::Open, out);
+        }
+        let Some(types) = a.types else {
+            return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
+        };
+        if let Some(why) = never_runs(&spec, a.facts, types) {
+            return out.reply(to, Answer::NeverRuns(why));
+        }
+        if self.writes >= USER_WRITES_MAX {
+            return out.reply(to, Answer::Full(RETRY_FULL_S));
+        }
+        let id = spec.id.clone();
+        let record = SpecRecord { spec, at_ms: a.wall_ms };
+        let txn = Txn {
+            conds: vec![
+                Cond { key: spec_key(&id), version: 0 },
+                Cond { key: end_key(&id), version: 0 },
+            ],
+            writes: vec![Write::Put {
+                key: spec_key(&id),
+                value: to_value(&record),
+                grant: None,
+            }],
+        };
+        let op = out.store(StoreRequest::Commit(txn));
+        self.writes += 1;
+        self.pending.insert(op, Pending::Submit(id, to));
+    }
+
+    fn poll(&mut self, a: &Around<'_>, to: ReplyTo, id: JobId, out: &mut Out) {
+        if let Some(end) = self.finals.get(&id) {
+            return out.reply(to, Answer::Job(200, final_status(&id, end)));
+        }
+        if a.store_bad || !a.replica.synced {
+            return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
+        }
+        if self.polls.len() >= POLLS_MAX {
+            return out.reply(to, Answer::Full(RETRY_FULL_S));
+        }
+        self.polls.push_back((id, to));
+        self.check(a, out);
+    }
+
+    fn cancel(&mut self, a: &Around<'_>, to: ReplyTo, id: JobId, out: &mut Out) {
+        if let Some(end) = self.finals.get(&id) {
+            return out.reply(to, Answer::Job(200, final_status(&id, end)));
+        }
+        if a.store_bad {
+            return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
+        }
+        if self.writes >= USER_WRITES_MAX {
+            return out.reply(to, Answer::Full(RETRY_FULL_S));
+        }
+        self.writes += 1;
+        match a.replica.specs.get(&id) {
+            Some((rec, version)) => self.cut(id, to, *version, rec.spec.tasks, out),
+            None => {
+                let op = out.store(StoreRequest::Get(spec_key(&id)));
+                self.pending.insert(op, Pending::CutRead(id, to));
+            }
+        }
+    }
+
+    fn cut(&mut self, id: JobId, to: ReplyTo, version: u64, tasks: u32, out: &mut Out) {
+        let end = EndRecord { cancelled: true, tasks };
+        let txn = Txn {
+            conds: vec![
+                Cond { key: spec_key(&id), version },
+                Cond { key: end_key(&id), version: 0 },
+            ],
+            writes: vec![
+                Write::Put { key: end_key(&id), value: to_value(&end), grant: None },
+                Write::Put { key: cut_key(&id), value: to_value(&true), grant: None },
+            ],
+        };
+        let op = out.store(StoreRequest::Commit(txn));
+        self.pending.insert(op, Pending::Cut(id, to, tasks));
+    }
+
+    fn read_end(&mut self, id: JobId, to: ReplyTo, absent: Absent, out: &mut Out) {
+        let op = out.store(StoreRequest::Get(end_key(&id)));
+        self.pending.insert(op, Pending::End(id, to, absent));
+    }
+
+    /// Steps with time.
+    pub fn tick(&mut self, a: &Around<'_>, out: &mut Out) {
+        self.check(a, out);
+    }
+
+    /// When [`Desk::tick`] next has something to do.
+    pub fn wake(&self) -> Option<Secs> {
+        (!self.check_running && !self.polls.is_empty()).then_some(self.next_check)
+    }
+
+    fn check(&mut self, a: &Around<'_>, out: &mut Out) {
+        if self.check_running || self.polls.is_empty() || a.now < self.next_check {
+            return;
+        }
+        let nodes = (a.facts.others.len() + 1) as f64;
+        self.next_check = a.now + nodes / (a.facts.store_rps * POLL_CHECK_SHARE).max(0.1);
+        let most = a.facts.store_txn_ops * CONDS_PER_OP;
+        let mut conds: BTreeMap<String, ()> = BTreeMap::new();
+        let mut asked = Vec::new();
+        while let Some((id, to)) = self.polls.pop_front() {
+            if conds.len() + 2 > most && !conds.contains_key(&end_key(&id)) {
+                self.polls.push_front((id, to));
+                break;
+            }
+            conds.insert(end_key(&id), ());
+            let known = a.replica.specs.contains_key(&id);
+            if !known {
+                conds.insert(spec_key(&id), ());
+            }
+            asked.push((id, to, known));
+        }
+        let conds = conds.into_keys().map(|key| Cond { key, version: 0 }).collect();
+        let op = out.store(StoreRequest::Commit(Txn { conds, writes: Vec::new() }));
+        self.check_running = true;
+        self.pending.insert(op, Pending::Check(asked));
+    }
+
+    /// Whether an answer of the store is for us; if so, takes it.
+    pub fn store(&mut self, a: &Around<'_>, op: OpId, result: &StoreResult, out: &mut Out) -> bool {
+        let Some(pending) = self.pending.remove(&op) else { return false };
+        match pending {
+            Pending::Check(asked) => self.checked(a, asked, result, out),
+            Pending::Submit(id, to) => {
+                self.writes -= 1;
+                match result {
+                    StoreResult::Committed(_) => {
+                        let status = JobStatus { id, stage: Stage::Queued, done: 0, running: 0 };
+                        out.reply(to, Answer::Job(201, status));
+                    }
+                    // Accepted before, perhaps over since.
+                    StoreResult::Conflict(_) => self.read_end(id, to, Absent::Open, out),
+                    StoreResult::Rejected => out.reply(to, Answer::NeverRuns("too large to store")),
+                    _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
+                }
+            }
+            Pending::CutRead(id, to) => match result {
+                StoreResult::Value(Some(item)) => {
+                    let tasks = from_value::<SpecRecord>(&item.value).map_or(0, |r| r.spec.tasks);
+                    self.cut(id, to, item.version, tasks, out);
+                }
+                StoreResult::Value(None) => {
+                    self.writes -= 1;
+                    self.read_end(id, to, Absent::Never, out);
+                }
+                _ => {
+                    self.writes -= 1;
+                    out.reply(to, Answer::Unavailable(RETRY_STORE_S));
+                }
+            },
+            Pending::Cut(id, to, tasks) => {
+                self.writes -= 1;
+                match result {
+                    StoreResult::Committed(_) => {
+                        let end = EndRecord { cancelled: true, tasks };
+                        self.remember(&id, end.clone());
+                        out.reply(to, Answer::Job(200, final_status(&id, &end)));
+                    }
+                    StoreResult::Conflict(_) => self.read_end(id, to, Absent::Unclear, out),
+                    _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
+                }
+            }
+            Pending::End(id, to, absent) => match result {
+                StoreResult::Value(Some(item)) => match from_value::<EndRecord>(&item.value) {
+                    Ok(end) => {
+                        self.remember(&id, end.clone());
+                        out.reply(to, Answer::Job(200, final_status(&id, &end)));
+                    }
+                    Err(_) => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
+                },
+                StoreResult::Value(None) => match absent {
+                    Absent::Open => {
+                        let status = self.open_status(id);
+                        out.reply(to, Answer::Job(200, status));
+                    }
+                    Absent::Never => out.reply(to, Answer::NotFound),
+                    Absent::Unclear => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
+                },
+                _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
+            },
+        }
+        true
+    }
+
+    fn checked(
+        &mut self,
+        a: &Around<'_>,
+        asked: Vec<(JobId, ReplyTo, bool)>,
+        result: &StoreResult,
+        out: &mut Out,
+    ) {
+        self.check_running = false;
+        match result {
+            StoreResult::Committed(_) => {
+                for (id, to, known) in asked {
+                    if known || a.replica.specs.contains_key(&id) {
+                        let status = self.open_status(id);
+                        out.reply(to, Answer::Job(200, status));
+                    } else {
+                        out.reply(to, Answer::NotFound);
+                    }
+                }
+            }
+            StoreResult::Conflict(keys) => {
+                for (id, to, _) in asked {
+                    // A spec that is there though the watch hasn't shown it
+                    // means the same as a known one.
+                    if keys.contains(&end_key(&id)) || keys.contains(&spec_key(&id)) {
+                        self.read_end(id, to, Absent::Open, out);
+                    } else {
+                        // Not proven by a failed check: again with the next.
+                        self.polls.push_back((id, to));
+                    }
+                }
+                self.check(a, out);
+            }
+            _ => {
+                for (_, to, _) in asked {
+                    out.reply(to, Answer::Unavailable(RETRY_STORE_S));
+                }
+            }
+        }
+    }
+
+    fn open_status(&self, id: JobId) -> JobStatus {
+        let (done, running) = self.progress.get(&id).copied().unwrap_or((0, 0));
+        let stage = if running > 0 { Stage::Running } else { Stage::Queued };
+        JobStatus { id, stage, done, running }
+    }
+
+    /// Keeps a last word that is surely in the store.
+    pub fn remember(&mut self, id: &JobId, end: EndRecord) {
+        self.progress.remove(id);
+        if self.finals.insert(id.clone(), end).is_none() {
+            self.finals_order.push_back(id.clone());
+            if self.finals_order.len() > FINALS_KEPT
+                && let Some(old) = self.finals_order.pop_front()
+            {
+                self.finals.remove(&old);
+            }
+        }
+    }
+}
+
+fn final_status(id: &JobId, end: &EndRecord) -> JobStatus {
+    let (stage, done) =
+        if end.cancelled { (Stage::Cancelled, 0) } else { (Stage::Done, end.tasks) };
+    JobStatus { id: id.clone(), stage, done, running: 0 }
+}
--- /dev/null
+++ b/crates/core/src/election.rs
@@ -0,0 +1,356 @@
+//! Who leads, and until when that is certain.
+//!
+//! The leader holds the leader key under a grant. It acts only while the grant
+//! surely lives, counted from the sending of the last good touch; in an outage
+//! of the state service also while every other controller has pledged not to
+//! stand. A pledge is given only by a controller that the store refuses too,
+//! and a fresh process waits a pledge's length before it stands, so that a
+//! pledge outlives the restart of the process that gave it.
+
+use crate::consts::*;
+use crate::event::{Action, OpId, Out, ReplyTo, Secs, StoreRequest, StoreResult};
+use crate::replica::Replica;
+use marblebarrow_proto::cbor::{from_value, to_value};
+use marblebarrow_proto::ids::{NodeId, Term};
+use marblebarrow_proto::records::{LEADER, LeaderRecord, TERM, TermRecord};
+use marblebarrow_proto::wire::{Cond, Txn, Write};
+use std::collections::BTreeMap;
+
+/// A leadership.
+#[derive(Debug, Clone)]
+pub struct Held {
+    /// The grant of the leader key.
+    pub grant: u64,
+    /// The term.
+    pub term: Term,
+    /// Version of the leader key: the condition of every write.
+    pub version: u64,
+    /// The grant surely lives until then.
+    pub valid_until: Secs,
+}
+
+#[derive(Debug)]
+enum Role {
+    Follower,
+    /// Asked for a grant, at that time.
+    Granting(OpId, Secs),
+    /// Reads the term counter.
+    Reading { op: OpId, grant: u64, since: Secs },
+    /// Sent the transaction that makes it leader.
+    Standing { op: Option<OpId>, grant: u64, since: Secs, term: Term },
+    Leader(Held),
+}
+
+/// What an election step led to.
+#[derive(Debug, PartialEq)]
+pub enum Turn {
+    /// Nothing.
+    None,
+    /// We lead from now on.
+    Won,
+    /// We no longer lead.
+    Lost,
+}
+
+/// The election as one controller sees it.
+#[derive(Debug)]
+pub struct Election {
+    me: NodeId,
+    boot: u64,
+    peers: Vec<NodeId>,
+    role: Role,
+    not_before: Secs,
+    spread: Secs,
+    touch: Option<(OpId, Secs)>,
+    next_touch: Secs,
+    touch_failing: bool,
+    pledges: BTreeMap<NodeId, Secs>,
+    next_ask: Secs,
+    revoked: Option<u64>,
+}
+
+impl Election {
+    /// A fresh process. `boot` tells it from earlier ones of the same name.
+    pub fn new(me: NodeId, peers: Vec<NodeId>, boot: u64, now: Secs) -> Self {
+        // Different for each controller, so that two seldom stand at once.
+        let spread = (boot % 1000) as f64 / 1000.0 * STAND_SPREAD_S;
+        Self {
+            me,
+            boot,
+            peers,
+            role: Role::Follower,
+            not_before: now + PLEDGE_S * (1.0 + DRIFT),
+            spread,
+            touch: None,
+            next_touch: 0.0,
+            touch_failing: false,
+            pledges: BTreeMap::new(),
+            next_ask: 0.0,
+            revoked: None,
+        }
+    }
+
+    /// A cluster of one has nobody to have pledged to.
+    pub fn founded(mut self) -> Self {
+        if self.peers.is_empty() {
+            self.not_before = 0.0;
+        }
+        self
+    }
+
+    /// The leadership, if we hold it (whether or not we may act).
+    pub fn held(&self) -> Option<&Held> {
+        match &self.role {
+            Role::Leader(h) => Some(h),
+            _ => None,
+        }
+    }
+
+    /// Whether we may act for the controllers now.
+    pub fn may_act(&self, now: Secs) -> bool {
+        match &self.role {
+            Role::Leader(h) => {
+                now < h.valid_until
+                    || (!self.peers.is_empty()
+                        && self
+                            .peers
+                            .iter()
+                            .all(|p| self.pledges.get(p).is_some_and(|&until| now < until)))
+            }
+            _ => false,
+        }
+    }
+
+    /// Steps with time.
+    pub fn tick(&mut self, now: Secs, replica: &Replica, out: &mut Out) -> Turn {
+        match &mut self.role {
+            Role::Follower => self.follow(now, replica, out),
+            Role::Granting(_, since) | Role::Reading { since, .. } => {
+                if now > *since + GRANT_MS as f64 / 1e3 {
+                    self.fall_back(now);
+                }
+            }
+            Role::Standing { since, .. } => {
+                // The grant isn't touched, so by then whatever became of the
+                // transaction, the key is gone or was never there.
+                if now > *since + GRANT_MS as f64 / 1e3 + 1.0 {
+                    self.fall_back(now);
+                }
+            }
+            Role::Leader(h) => {
+                let (grant, term) = (h.grant, h.term);
+                if self.touch.is_none() && now >= self.next_touch {
+                    let op = out.store(StoreRequest::Touch(grant));
+                    self.touch = Some((op, now));
+                }
+                if self.touch_failing && now >= self.next_ask && !self.peers.is_empty() {
+                    self.next_ask = now + PLEDGE_EVERY_S;
+                    out.actions.push(Action::AskPledges(term.0));
+                }
+            }
+        }
+        Turn::None
+    }
+
+    fn follow(&mut self, now: Secs, replica: &Replica, out: &mut Out) {
+        if !replica.synced {
+            return;
+        }
+        match &replica.leader {
+            Some((rec, _)) if rec.node == self.me && rec.boot != self.boot => {
+                // Our own earlier process led: it is dead, so its key may go.
+                if self.revoked != Some(rec.grant) {
+                    self.revoked = Some(rec.grant);
+                    out.store(StoreRequest::Revoke(rec.grant));
+                }
+            }
+            Some(_) => self.not_before = self.not_before.max(now + self.spread),
+            None if now >= self.not_before => {
+                let op = out.store(StoreRequest::Grant(GRANT_MS));
+                self.role = Role::Granting(op, now);
+            }
+            None => {}
+        }
+    }
+
+    fn fall_back(&mut self, now: Secs) {
+        self.role = Role::Follower;
+        self.not_before = self.not_before.max(now + STAND_RETRY_S + self.spread);
+    }
+
+    /// Whether an answer of the store is for us; if so, takes it.
+    pub fn store(&mut self, now: Secs, op: OpId, result: &StoreResult, out: &mut Out) -> Option<Turn> {
+        if let Some((touch, sent)) = self.touch
+            && touch == op
+        {
+            self.touch = None;
+            return Some(self.touched(now, sent, result));
+        }
+        match &self.role {
+            Role::Granting(o, since) if *o == op => {
+                let since = *since;
+                if let StoreResult::Granted(grant) = result {
+                    let op = out.store(StoreRequest::Get(TERM.into()));
+                    self.role = Role::Reading { op, grant: *grant, since };
+                } else {
+                    self.fall_back(now);
+                }
+                Some(Turn::None)
+            }
+            Role::Reading { op: o, grant, since } if *o == op => {
+                let (grant, since) = (*grant, *since);
+                match result {
+                    StoreResult::Value(item) => self.stand(now, grant, since, item.as_ref(), out),
+                    _ => self.fall_back(now),
+                }
+                Some(Turn::None)
+            }
+            Role::Standing { op: Some(o), grant, since, term } if *o == op => {
+                let (grant, since, term) = (*grant, *since, *term);
+                match result {
+                    StoreResult::Committed(version) => {
+                        return Some(self.win(now, grant, since, term, *version));
+                    }
+                    // The watch will tell.
+                    StoreResult::Unknown => {
+                        self.role = Role::Standing { op: None, grant, since, term };
+                    }
+                    _ => self.fall_back(now),
+                }
+                Some(Turn::None)
+            }
+            _ => None,
+        }
+    }
+
+    fn stand(
+        &mut self,
+        now: Secs,
+        grant: u64,
+        since: Secs,
+        counter: Option<&marblebarrow_proto::wire::Item>,
+        out: &mut Out,
+    ) {
+        if now < self.not_before {
+            return self.fall_back(now);
+        }
+        let (last, version) = match counter {
+            None => (0, 0),
+            Some(item) => match from_value::<TermRecord>(&item.value) {
+                Ok(r) => (r.term, item.version),
+                Err(_) => return self.fall_back(now),
+            },
+        };
+        let term = Term(last + 1);
+        let record =
+            LeaderRecord { node: self.me.clone(), term: term.0, grant, boot: self.boot };
+        let txn = Txn {
+            conds: vec![
+                Cond { key: LEADER.into(), version: 0 },
+                Cond { key: TERM.into(), version },
+            ],
+            writes: vec![
+                Write::Put { key: LEADER.into(), value: to_value(&record), grant: Some(grant) },
+                Write::Put {
+                    key: TERM.into(),
+                    value: to_value(&TermRecord { term: term.0 }),
+                    grant: None,
+                },
+            ],
+        };
+        let op = out.store(StoreRequest::Commit(txn));
+        self.role = Role::Standing { op: Some(op), grant, since, term };
+    }
+
+    fn win(&mut self, now: Secs, grant: u64, since: Secs, term: Term, version: u64) -> Turn {
+        let valid_until = certain_life(since);
+        self.pledges.clear();
+        self.touch_failing = false;
+        self.next_touch = now;
+        self.role = Role::Leader(Held { grant, term, version, valid_until });
+        Turn::Won
+    }
+
+    fn touched(&mut self, now: Secs, sent: Secs, result: &StoreResult) -> Turn {
+        let Role::Leader(h) = &mut self.role else { return Turn::None };
+        match result {
+            StoreResult::Touched => {
+                h.valid_until = certain_life(sent);
+                self.next_touch = sent + TOUCH_EVERY_S;
+                self.touch_failing = false;
+                Turn::None
+            }
+            StoreResult::NoGrant => self.lose(now),
+            _ => {
+                self.next_touch = now + STORE_RETRY_S;
+                self.touch_failing = true;
+                Turn::None
+            }
+        }
+    }
+
+    /// Gives up a leadership.
+    pub fn lose(&mut self, now: Secs) -> Turn {
+        let led = self.held().is_some();
+        self.touch = None;
+        self.fall_back(now);
+        if led { Turn::Lost } else { Turn::None }
+    }
+
+    /// The watched leader key changed.
+    pub fn leader_changed(&mut self, now: Secs, replica: &Replica) -> Turn {
+        let seen = replica.leader.as_ref();
+        match &self.role {
+            Role::Leader(h) => match seen {
+                Some((_, version)) if *version <= h.version => Turn::None,
+                // Gone, or somebody else's: either way ours no longer stands.
+                // Before the watch has shown our own key, it may be an older
+                // removal; the touch will find out.
+                None if !replica.synced => Turn::None,
+                None => Turn::None,
+                Some(_) => self.lose(now),
+            },
+            Role::Standing { grant, since, term, .. } => {
+                let (grant, since, term) = (*grant, *since, *term);
+                match seen {
+                    Some((rec, version)) if rec.boot == self.boot && rec.grant == grant => {
+                        self.win(now, grant, since, term, *version)
+                    }
+                    _ => Turn::None,
+                }
+            }
+            _ => Turn::None,
+        }
+    }
+
+    /// A leader asks us not to stand. `store_refuses`: the store has refused
+    /// us lately too, so that it has an outage as far as we can tell.
+    pub fn pledge_asked(
+        &mut self,
+        now: Secs,
+        reply: ReplyTo,
+        from: &NodeId,
+        term: u64,
+        replica: &Replica,
+        store_refuses: bool,
+        out: &mut Out,
+    ) {
+        let known = replica.leader.as_ref().is_some_and(|(r, _)| r.node == *from && r.term == term);
+        let granted = store_refuses && known && matches!(self.role, Role::Follower);
+        if granted {
+            self.not_before = self.not_before.max(now + PLEDGE_S * (1.0 + DRIFT));
+        }
+        out.actions.push(Action::PledgeReply(reply, granted));
+    }
+
+    /// A peer pledged, to a request sent at `sent`.
+    pub fn pledged(&mut self, peer: NodeId, sent: Secs) {
+        let until = sent + PLEDGE_S * (1.0 - DRIFT) - GRANT_MARGIN_S;
+        let slot = self.pledges.entry(peer).or_insert(until);
+        *slot = slot.max(until);
+    }
+}
+
+fn certain_life(sent: Secs) -> Secs {
+    sent + GRANT_MS as f64 / 1e3 * (1.0 - DRIFT) - GRANT_MARGIN_S
+}
--- /dev/null
+++ b/crates/core/src/event.rs
@@ -0,0 +1,261 @@
+//! What goes into the core and what comes out.
+
+use marblebarrow_proto::ids::{JobId, MachineId, NodeId};
+use marblebarrow_proto::job::JobSpec;
+use marblebarrow_proto::wire::{
+    Command, Item, ItemPage, JobStatus, MachineList, MachineType, Rent, Report, ReportAnswer, Txn,
+    WatchEvent,
+};
+
+/// Seconds of the steady clock since the process began.
+pub type Secs = f64;
+
+/// Names a request that waits for an answer from the core.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub struct ReplyTo(pub u64);
+
+/// Names a request that the core made.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
+pub struct OpId(pub u64);
+
+/// A user's request, validated.
+#[derive(Clone, Debug)]
+pub enum UserRequest {
+    /// Submit a job.
+    Submit(Box<JobSpec>),
+    /// Ask how a job stands.
+    Poll(JobId),
+    /// Cancel a job.
+    Cancel(JobId),
+    /// Whether this controller can take requests.
+    Health,
+}
+
+/// An answer to a user or worker.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Answer {
+    /// A job's status, with the HTTP status that goes with it.
+    Job(u16, JobStatus),
+    /// Healthy.
+    Healthy,
+    /// Commands for a worker.
+    Report(ReportAnswer),
+    /// Ask that controller (421).
+    Elsewhere(Option<NodeId>),
+    /// No such job.
+    NotFound,
+    /// Can never run, and why.
+    NeverRuns(&'static str),
+    /// Too much is asked; come back after so many seconds.
+    Full(u32),
+    /// Can't decide now; come back after so many seconds.
+    Unavailable(u32),
+}
+
+/// A request to the state service.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreRequest {
+    /// A transaction.
+    Commit(Txn),
+    /// One key.
+    Get(String),
+    /// A page of keys under a prefix.
+    Range {
+        /// The prefix.
+        prefix: String,
+        /// Begin after this key.
+        after: String,
+    },
+    /// A new grant of so many milliseconds.
+    Grant(u64),
+    /// Renew a grant.
+    Touch(u64),
+    /// End a grant.
+    Revoke(u64),
+}
+
+/// How a request to the state service went.
+#[derive(Clone, Debug, PartialEq)]
+pub enum StoreResult {
+    /// Committed at this revision.
+    Committed(u64),
+    /// These conditions failed.
+    Conflict(Vec<String>),
+    /// The key, or that there is none.
+    Value(Option<Item>),
+    /// A page.
+    Page(ItemPage),
+    /// A grant.
+    Granted(u64),
+    /// The grant lives on.
+    Touched,
+    /// The grant is gone.
+    NoGrant,
+    /// Not executed: refused, limited or unreachable.
+    Refused,
+    /// Not executed, and never will be as it stands.
+    Rejected,
+    /// Perhaps executed, perhaps later.
+    Unknown,
+}
+
+/// A request to the cloud.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CloudRequest {
+    /// Machine types.
+    Types,
+    /// A page of the machine list.
+    List {
+        /// Begin after this machine.
+        after: Option<MachineId>,
+    },
+    /// Rent.
+    Rent(Rent),
+    /// Return machines.
+    Release(Vec<MachineId>),
+}
+
+/// How a request to the cloud went.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CloudResult {
+    /// Types.
+    Types(Vec<MachineType>),
+    /// A page of the list.
+    List(MachineList),
+    /// Rented these.
+    Rented(Vec<MachineId>),
+    /// None available.
+    NoCapacity,
+    /// The machines and all on them are gone.
+    Released,
+    /// Not executed (limited, outage, unreachable), or malformed.
+    Refused,
+    /// Perhaps executed.
+    Unknown,
+}
+
+/// How direct commands went.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DirectResult {
+    /// Executed (true) or refused for token or session (false), with a report.
+    Report(bool, Box<Report>),
+    /// The worker never got it.
+    NotSent,
+    /// Perhaps executed, perhaps later.
+    Unknown,
+}
+
+/// News of the watch.
+#[derive(Clone, Debug)]
+pub enum WatchNews {
+    /// All keys, read anew.
+    Reset {
+        /// The keys.
+        items: Vec<Item>,
+    },
+    /// Changes.
+    Events(Vec<WatchEvent>),
+}
+
+/// A word between controllers.
+#[derive(Clone, Debug)]
+pub enum PeerNews {
+    /// A peer beat, or answered one: whether the store serves it.
+    Beat(NodeId, bool),
+    /// A leader asks for a pledge.
+    PledgeAsked {
+        /// Where the answer goes.
+        reply: ReplyTo,
+        /// The leader.
+        from: NodeId,
+        /// Its term.
+        term: u64,
+    },
+    /// A peer pledged, to a request that we made at that time.
+    Pledged(NodeId, Secs),
+    /// The leader's progress figures: job, done, running.
+    Progress(Vec<(JobId, u32, u32)>),
+}
+
+/// What the core is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A user asks.
+    User(ReplyTo, UserRequest),
+    /// A worker reports.
+    Report(ReplyTo, Box<Report>),
+    /// The store answered.
+    Store(OpId, StoreResult),
+    /// The watch brought something.
+    Watch(WatchNews),
+    /// The cloud answered.
+    Cloud(OpId, CloudResult),
+    /// A worker answered direct commands.
+    Direct(OpId, DirectResult),
+    /// Another controller.
+    Peer(PeerNews),
+}
+
+/// What the core wants done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Answer a user or worker.
+    Reply(ReplyTo, Answer),
+    /// Answer a pledge request.
+    PledgeReply(ReplyTo, bool),
+    /// Ask the store.
+    Store(OpId, StoreRequest),
+    /// Ask the cloud.
+    Cloud(OpId, CloudRequest),
+    /// Send direct commands.
+    Direct {
+        /// Our name for it.
+        op: OpId,
+        /// Where the worker listens.
+        addr: String,
+        /// Our term.
+        token: u64,
+        /// Session meant.
+        session: u64,
+        /// The commands.
+        commands: Vec<Command>,
+    },
+    /// Tell the peers whether the store serves us.
+    Beat(bool),
+    /// Ask all peers for pledges.
+    AskPledges(u64),
+    /// Show the peers progress.
+    ShowProgress(Vec<(JobId, u32, u32)>),
+}
+
+/// Collects actions and names requests.
+#[derive(Debug, Default)]
+pub struct Out {
+    /// The actions so far.
+    pub actions: Vec<Action>,
+    next: u64,
+}
+
+impl Out {
+    /// A new request name.
+    pub fn op(&mut self) -> OpId {
+        self.next += 1;
+        OpId(self.next)
+    }
+    /// Asks the store; returns the request's name.
+    pub fn store(&mut self, req: StoreRequest) -> OpId {
+        let op = self.op();
+        self.actions.push(Action::Store(op, req));
+        op
+    }
+    /// Asks the cloud.
+    pub fn cloud(&mut self, req: CloudRequest) -> OpId {
+        let op = self.op();
+        self.actions.push(Action::Cloud(op, req));
+        op
+    }
+    /// Answers.
+    pub fn reply(&mut self, to: ReplyTo, answer: Answer) {
+        self.actions.push(Action::Reply(to, answer));
+    }
+}
--- /dev/null
+++ b/crates/core/src/facts.rs
@@ -0,0 +1,56 @@
+//! What the settings tell the core.
+
+use marblebarrow_proto::ids::NodeId;
+
+/// A team's guarantee and limit. Zero means none.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Team {
+    /// Its name.
+    pub name: String,
+    /// CPUs guaranteed.
+    pub cpus: f64,
+    /// CPUs at most.
+    pub cpus_max: f64,
+    /// GPUs guaranteed.
+    pub gpus: f64,
+    /// GPUs at most.
+    pub gpus_max: f64,
+}
+
+/// An aim on starting: tasks of `class` should start within `within_s`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WaitAim {
+    /// The class.
+    pub class: String,
+    /// Seconds.
+    pub within_s: f64,
+}
+
+/// The settings as the core needs them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Facts {
+    /// This controller.
+    pub node: NodeId,
+    /// The other controllers.
+    pub others: Vec<NodeId>,
+    /// Teams.
+    pub teams: Vec<Team>,
+    /// Aims on starting.
+    pub waits: Vec<WaitAim>,
+    /// Worker report interval, seconds.
+    pub report_s: f64,
+    /// Worker lease, seconds.
+    pub lease_s: f64,
+    /// Store requests a second.
+    pub store_rps: f64,
+    /// Store changes a second.
+    pub store_write_rps: f64,
+    /// Store value limit, KiB.
+    pub store_value_kb: f64,
+    /// Changes in a transaction.
+    pub store_txn_ops: usize,
+    /// Cloud requests a second.
+    pub cloud_rps: f64,
+    /// Lag of the machine list, seconds.
+    pub list_lag_s: f64,
+}
--- /dev/null
+++ b/crates/core/src/jobs.rs
@@ -0,0 +1,311 @@
+//! The leader's picture of a job: which tasks ran, run or may run.
+
+use crate::consts::*;
+use crate::event::Secs;
+use marblebarrow_proto::ids::{Attempt, MachineId};
+use marblebarrow_proto::intset::IntSet;
+use marblebarrow_proto::job::{JobSpec, Kind};
+use marblebarrow_proto::records::{PART_TASKS, SpecRecord};
+use rand::RngExt as _;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Where an attempt stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Placed; its start isn't recorded yet.
+    Placed,
+    /// Recorded; the command isn't sent, or was surely lost.
+    Ready,
+    /// The command is on its way.
+    Sent,
+    /// The worker reports it.
+    Seen,
+    /// It runs.
+    Running,
+}
+
+/// An attempt that runs, or may run.
+#[derive(Clone, Debug)]
+pub struct Live {
+    /// Where.
+    pub machine: MachineId,
+    /// Its attempt.
+    pub attempt: Attempt,
+    /// Where it stands.
+    pub phase: Phase,
+    /// When it was placed.
+    pub since: Secs,
+    /// When it was first seen running.
+    pub ran_from: Option<Secs>,
+    /// A direct command to start it went unanswered and may yet arrive.
+    pub doubt: bool,
+    /// It is to stop, with this much time to save.
+    pub stop: Option<f64>,
+    /// Whether it was a pilot.
+    pub pilot: bool,
+}
+
+/// Why a task came to an end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Completed.
+    Done,
+    /// Failed.
+    Error,
+    /// The worker would not start it.
+    Refused,
+    /// Stopped or lost with its machine.
+    Lost,
+}
+
+/// A job that isn't over.
+#[derive(Debug)]
+pub struct Job {
+    /// Its spec.
+    pub record: Arc<SpecRecord>,
+    /// Version of the spec's key.
+    pub spec_version: u64,
+    /// When it was accepted, on our clock (may be before our start).
+    pub arrived: Secs,
+    /// Tasks whose start may have been recorded.
+    pub started: IntSet,
+    /// Tasks that completed.
+    pub finished: IntSet,
+    /// As `started`, but surely in the store.
+    pub stored_started: IntSet,
+    /// As `finished`, but surely in the store.
+    pub stored_finished: IntSet,
+    /// Version of each part's record; 0: none.
+    pub parts: Vec<u64>,
+    /// Attempts that run or may run.
+    pub live: BTreeMap<u32, Live>,
+    /// Started under an earlier term, not found yet.
+    pub limbo: BTreeSet<u32>,
+    /// Tasks to run again, not before that time.
+    pub again: BTreeMap<u32, Secs>,
+    /// Pilots.
+    pub pilots: Vec<u32>,
+    cursor: u32,
+    /// Run times seen: count and sum.
+    pub runs: (u32, f64),
+    /// The queue, once known.
+    pub queue: Option<u8>,
+    /// Cancelled: stop all, start nothing.
+    pub cancelled: bool,
+    /// Its last transaction is under way.
+    pub closing: bool,
+    failed_on: BTreeSet<MachineId>,
+    successes: u32,
+    errors: u32,
+    not_before: Secs,
+}
+
+impl Job {
+    /// A job as the watch brings it.
+    pub fn new(record: Arc<SpecRecord>, spec_version: u64, arrived: Secs, rng: &mut impl rand::Rng) -> Self {
+        let spec = &record.spec;
+        let mut pilots = Vec::new();
+        if spec.kind == Kind::Array && spec.tasks >= THIN_LIMIT {
+            let count = ((f64::from(spec.tasks) * PILOT_SHARE) as u32).max(1);
+            let mut chosen = BTreeSet::new();
+            while (chosen.len() as u32) < count {
+                chosen.insert(rng.random_range(0..spec.tasks));
+            }
+            pilots = chosen.into_iter().collect();
+        }
+        let queue = if pilots.is_empty() { Some(0) } else { None };
+        let parts = vec![0; spec.tasks.div_ceil(PART_TASKS) as usize];
+        Self {
+            record,
+            spec_version,
+            arrived,
+            started: IntSet::new(),
+            finished: IntSet::new(),
+            stored_started: IntSet::new(),
+            stored_finished: IntSet::new(),
+            parts,
+            live: BTreeMap::new(),
+            limbo: BTreeSet::new(),
+            again: BTreeMap::new(),
+            pilots,
+            cursor: 0,
+            runs: (0, 0.0),
+            queue,
+            cancelled: false,
+            closing: false,
+            failed_on: BTreeSet::new(),
+            successes: 0,
+            errors: 0,
+            not_before: 0.0,
+        }
+    }
+
+    /// Its spec.
+    pub fn spec(&self) -> &JobSpec {
+        &self.record.spec
+    }
+
+    /// Whether all tasks completed.
+    pub fn complete(&self) -> bool {
+        self.spec().kind != Kind::Service && self.finished.len() == self.spec().tasks
+    }
+
+    /// Whether `n` may be started: not done, not running, not in doubt.
+    fn startable(&self, n: u32) -> bool {
+        !self.finished.contains(n) && !self.live.contains_key(&n) && !self.limbo.contains(&n)
+    }
+
+    /// The next pilot that waits.
+    pub fn next_pilot(&mut self, now: Secs) -> Option<u32> {
+        if !self.may_start(now) {
+            return None;
+        }
+        let ready = |n: &u32| {
+            self.startable(*n) && self.again.get(n).is_none_or(|&at| at <= now)
+        };
+        self.pilots.iter().copied().find(ready)
+    }
+
+    /// The next task that waits, pilots included.
+    pub fn next_task(&mut self, now: Secs) -> Option<u32> {
+        if !self.may_start(now) {
+            return None;
+        }
+        if let Some((&n, _)) = self.again.iter().find(|&(&n, &at)| at <= now && self.startable(n)) {
+            return Some(n);
+        }
+        while self.cursor < self.spec().tasks {
+            let n = self.cursor;
+            if self.startable(n) && !self.again.contains_key(&n) {
+                return Some(n);
+            }
+            self.cursor += 1;
+        }
+        None
+    }
+
+    fn may_start(&self, now: Secs) -> bool {
+        if self.cancelled || self.closing || now < self.not_before {
+            return false;
+        }
+        // Taken for mistaken: one task at a time goes on trying.
+        !(self.mistaken() && self.live.len() >= BAD_JOB_TASKS)
+    }
+
+    /// Whether it looks submitted with a mistake: failed on several machines
+    /// and succeeded on none.
+    pub fn mistaken(&self) -> bool {
+        self.successes == 0 && self.failed_on.len() >= BAD_JOB_MACHINES
+    }
+
+    /// Whether it failed on this machine.
+    pub fn avoids(&self, machine: &MachineId) -> bool {
+        self.failed_on.contains(machine)
+    }
+
+    /// Tasks that wait, backoffs and doubts included.
+    pub fn waiting(&self) -> u32 {
+        if self.cancelled || self.closing {
+            return 0;
+        }
+        let busy = self.finished.len() + self.live.len() as u32 + self.limbo.len() as u32;
+        self.spec().tasks.saturating_sub(busy)
+    }
+
+    /// Mean run time, if any was seen.
+    pub fn mean_run(&self) -> Option<f64> {
+        (self.runs.0 > 0).then(|| self.runs.1 / f64::from(self.runs.0))
+    }
+
+    /// What a task probably takes, seconds.
+    pub fn likely_run(&self) -> f64 {
+        let guess = self.spec().estimate_s;
+        self.mean_run().unwrap_or(if guess > 0.0 { guess } else { DEFAULT_RUN_S })
+    }
+
+    /// When it is due, on our clock.
+    pub fn due(&self) -> Option<Secs> {
+        self.spec().deadline_s.map(|d| self.arrived + d)
+    }
+
+    /// Takes a task as placed; records ahead a few that come next.
+    pub fn place(&mut self, n: u32, live: Live) {
+        self.again.remove(&n);
+        self.live.insert(n, live);
+        if self.started.insert(n) && self.spec().kind == Kind::Array {
+            let ahead = (n + 1)..self.spec().tasks.min(n + 1 + START_AHEAD);
+            for m in ahead {
+                self.started.insert(m);
+            }
+        }
+    }
+
+    /// An attempt is surely over.
+    pub fn over(&mut self, n: u32, outcome: Outcome, now: Secs) {
+        let Some(live) = self.live.remove(&n) else {
+            if outcome == Outcome::Done {
+                self.limbo.remove(&n);
+                self.again.remove(&n);
+                self.finished.insert(n);
+            }
+            return;
+        };
+        match outcome {
+            Outcome::Done => {
+                self.finished.insert(n);
+                self.successes += 1;
+                self.failed_on.clear();
+                if let Some(from) = live.ran_from {
+                    self.measure(now - from);
+                }
+            }
+            Outcome::Error => {
+                // A pilot that fails in seconds says nothing of the job's size.
+                self.errors += 1;
+                self.failed_on.insert(live.machine);
+                let wait = ERROR_BACKOFF_S * f64::from(1u32 << self.errors.min(6));
+                let until = now + wait.min(ERROR_BACKOFF_MAX_S);
+                self.again.insert(n, until);
+                if self.mistaken() {
+                    self.not_before = until;
+                }
+            }
+            Outcome::Refused => {
+                self.again.insert(n, now + REFUSED_BACKOFF_S);
+            }
+            Outcome::Lost => {
+                self.again.insert(n, now);
+            }
+        }
+    }
+
+    fn measure(&mut self, run: f64) {
+        if self.runs.0 >= MEAN_SAMPLES {
+            return;
+        }
+        self.runs.0 += 1;
+        self.runs.1 += run;
+        let pilots_done = self.pilots.iter().all(|p| self.finished.contains(*p));
+        if self.queue.is_none() && pilots_done || self.queue.is_some() && !self.pilots.is_empty() {
+            self.queue = Some(queue_of(self.runs.1 / f64::from(self.runs.0) * f64::from(self.spec().tasks)));
+        }
+    }
+
+    /// Tasks of a part, as its first number and count.
+    pub fn part_range(part: u32) -> (u32, u32) {
+        (part * PART_TASKS, PART_TASKS)
+    }
+}
+
+/// The queue of a job of that size, task-seconds (the paper's section 5.1.1).
+pub fn queue_of(size_s: f64) -> u8 {
+    let mut bound = TOP_BOUND_S;
+    for q in 0..QUEUES - 1 {
+        if size_s <= bound {
+            return q as u8;
+        }
+        bound *= QUEUE_GROWTH;
+    }
+    (QUEUES - 1) as u8
+}
--- /dev/null
+++ b/crates/core/src/leader.rs
@@ -0,0 +1,343 @@
+//! The leader's state and what moves it. Its parts: `recover` (taking over),
+//! `reports` (workers), `place` (who runs where), `writer` (records), `hire`
+//! (machines).
+
+use crate::consts::*;
+use crate::event::{Answer, CloudResult, DirectResult, OpId, Out, ReplyTo, Secs, StoreResult};
+use crate::facts::Facts;
+use crate::fleet::Machines;
+use crate::hire::Hire;
+use crate::jobs::{Job, Outcome, Phase};
+use crate::recover::Loading;
+use crate::replica::{Change, Replica};
+use crate::writer::Writer;
+use marblebarrow_proto::ids::{JobId, MachineId, TaskId, Term};
+use marblebarrow_proto::job::Kind;
+use marblebarrow_proto::records::EndRecord;
+use marblebarrow_proto::wire::Report;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+/// Direct commands under way.
+#[derive(Debug)]
+pub(crate) struct DirectSent {
+    pub machine: MachineId,
+    pub session: u64,
+    pub starts: Vec<TaskId>,
+}
+
+/// A leader in office.
+#[derive(Debug)]
+pub struct Leader {
+    pub(crate) facts: Arc<Facts>,
+    pub(crate) term: Term,
+    /// Version of the leader key, condition of all writes.
+    pub(crate) version: u64,
+    pub(crate) rng: StdRng,
+    pub(crate) loading: Option<Loading>,
+    pub(crate) jobs: BTreeMap<JobId, Job>,
+    pub(crate) machines: Machines,
+    pub(crate) tombs: BTreeMap<MachineId, Secs>,
+    pub(crate) directs: HashMap<OpId, DirectSent>,
+    pub(crate) next_attempt: u32,
+    pub(crate) writer: Writer,
+    pub(crate) hire: Hire,
+    pub(crate) recovering: bool,
+    pub(crate) place_due: bool,
+    pub(crate) placed_at: Secs,
+    pub(crate) finals: Vec<(JobId, EndRecord)>,
+    next_show: Secs,
+    shown: BTreeMap<JobId, (u32, u32)>,
+    /// Lines for the log: what was decided, and why.
+    pub log: Vec<String>,
+}
+
+impl Leader {
+    /// Takes office: loads, then recovers, then places.
+    pub fn new(facts: Arc<Facts>, term: Term, version: u64, now: Secs, out: &mut Out) -> Self {
+        let mut leader = Self {
+            writer: Writer::new(&facts, now),
+            hire: Hire::new(now),
+            facts,
+            term,
+            version,
+            rng: StdRng::seed_from_u64(term.0),
+            loading: None,
+            jobs: BTreeMap::new(),
+            machines: Machines::new(),
+            tombs: BTreeMap::new(),
+            directs: HashMap::new(),
+            next_attempt: 0,
+            recovering: true,
+            place_due: true,
+            placed_at: 0.0,
+            finals: Vec::new(),
+            next_show: 0.0,
+            shown: BTreeMap::new(),
+            log: Vec::new(),
+        };
+        leader.start_loading(out);
+        leader
+    }
+
+    /// Last words written since the last call.
+    pub fn take_finals(&mut self) -> Vec<(JobId, EndRecord)> {
+        std::mem::take(&mut self.finals)
+    }
+
+    /// Steps with time. Only called while we may act.
+    pub fn tick(&mut self, now: Secs, wall_ms: u64, replica: &Replica, out: &mut Out) {
+        if self.loading.is_some() {
+            return self.keep_loading(now, wall_ms, replica, out);
+        }
+        self.lapse(now);
+        self.check_recovered(now);
+        self.drain_noticed(now);
+        self.unplace_noticed(now);
+        let placing = self.place_due && now >= self.placed_at + PLACE_EVERY_S;
+        if placing || now >= self.placed_at + PLACE_IDLE_S {
+            self.place_due = false;
+            self.placed_at = now;
+            self.place(now);
+        }
+        self.flush(now, replica, out);
+        self.hire_tick(now, replica, out);
+        self.push_direct(now, out);
+        self.show_progress(now, out);
+    }
+
+    /// A watched key changed.
+    pub fn change(&mut self, now: Secs, wall_ms: u64, change: &Change, replica: &Replica) {
+        if self.loading.is_some() {
+            return;
+        }
+        match change {
+            Change::Leader => {}
+            Change::Job(id) => self.learn_job(now, wall_ms, id, replica),
+            Change::Cut(id) => self.cut(now, id),
+            Change::All => {
+                let ids: Vec<JobId> = replica.specs.keys().cloned().collect();
+                for id in ids {
+                    self.learn_job(now, wall_ms, &id, replica);
+                }
+                for id in &replica.cuts {
+                    self.cut(now, id);
+                }
+            }
+        }
+    }
+
+    pub(crate) fn learn_job(&mut self, now: Secs, wall_ms: u64, id: &JobId, replica: &Replica) {
+        let Some((record, version)) = replica.specs.get(id) else { return };
+        if self.jobs.contains_key(id) || self.writer.closed(id, *version) {
+            return;
+        }
+        let age = wall_ms.saturating_sub(record.at_ms) as f64 / 1e3;
+        let mut job = Job::new(record.clone(), *version, now - age, &mut self.rng);
+        job.cancelled = replica.cuts.contains(id);
+        self.hire.saw_job(now, job.spec());
+        if job.cancelled {
+            self.writer.close(id);
+        }
+        self.jobs.insert(id.clone(), job);
+        self.place_due = true;
+    }
+
+    /// A job was cancelled: nothing of it starts from now on, all of it stops.
+    pub(crate) fn cut(&mut self, now: Secs, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.cancelled {
+            return;
+        }
+        job.cancelled = true;
+        job.again.clear();
+        let mut unsent = Vec::new();
+        for (&n, live) in &mut job.live {
+            let never_sent = matches!(live.phase, Phase::Placed | Phase::Ready) && !live.doubt;
+            if never_sent {
+                unsent.push(n);
+            } else {
+                live.stop = Some(0.0);
+                if let Some(m) = self.machines.get_mut(&live.machine) {
+                    m.push = true;
+                }
+            }
+        }
+        for n in unsent {
+            self.over(id, n, Outcome::Lost, now);
+        }
+        self.writer.close(id);
+        self.place_due = true;
+    }
+
+    /// An attempt is surely over: frees its place, and keeps the result.
+    pub(crate) fn over(&mut self, id: &JobId, n: u32, outcome: Outcome, now: Secs) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if let Some(live) = job.live.get(&n) {
+            let task = TaskId { job: id.clone(), index: n };
+            if let Some(m) = self.machines.get_mut(&live.machine)
+                && m.tasks.remove(&task)
+            {
+                let spec = job.record.spec.clone();
+                if !m.freed.remove(&task) {
+                    m.used[0] -= spec.cpus;
+                    m.used[1] -= spec.gpus;
+                    m.used[2] -= spec.memory_gb;
+                }
+                if m.tasks.is_empty() {
+                    m.used = [0.0; 3];
+                    m.idle_since = now;
+                }
+            }
+        }
+        // While recovering, an earlier leader may have made a later attempt
+        // than the one that ended, on a machine not heard yet.
+        let earlier = job.live.get(&n).is_some_and(|l| (l.attempt.0 >> 32) < self.term.0);
+        job.over(n, outcome, now);
+        if self.recovering && earlier && outcome != Outcome::Done {
+            job.again.remove(&n);
+            job.limbo.insert(n);
+        }
+        if outcome == Outcome::Done {
+            self.writer.touch_task(id, n);
+            if job.complete() {
+                self.writer.close(id);
+            }
+        }
+        if job.cancelled {
+            self.writer.close(id);
+        }
+        self.place_due = true;
+    }
+
+    /// Books a place for an attempt on its machine.
+    pub(crate) fn attach(&mut self, id: &JobId, n: u32, machine: &MachineId) {
+        let (Some(job), Some(m)) = (self.jobs.get(id), self.machines.get_mut(machine)) else {
+            return;
+        };
+        if m.tasks.insert(TaskId { job: id.clone(), index: n }) {
+            let spec = job.spec();
+            m.used[0] += spec.cpus;
+            m.used[1] += spec.gpus;
+            m.used[2] += spec.memory_gb;
+        }
+    }
+
+    /// Everything on a machine is surely gone.
+    pub(crate) fn lose_tasks(&mut self, machine: &MachineId, now: Secs) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        m.exited.clear();
+        m.strangers.clear();
+        m.keep.clear();
+        for task in m.tasks.clone() {
+            self.over(&task.job, task.index, Outcome::Lost, now);
+        }
+    }
+
+    /// A worker reports.
+    pub fn report(&mut self, now: Secs, to: ReplyTo, report: &Report, out: &mut Out) {
+        let answer = self.answer_report(now, report);
+        out.reply(to, answer.unwrap_or(Answer::Unavailable(RETRY_STORE_S)));
+    }
+
+    /// The store answered one of ours. Whether we still lead.
+    pub fn store(
+        &mut self,
+        now: Secs,
+        wall_ms: u64,
+        op: OpId,
+        result: StoreResult,
+        replica: &Replica,
+        out: &mut Out,
+    ) -> bool {
+        if self.loading.is_some() {
+            self.loaded(now, wall_ms, op, result, replica, out);
+            return true;
+        }
+        self.written(now, op, result, out)
+    }
+
+    /// The cloud answered.
+    pub fn cloud(&mut self, now: Secs, op: OpId, result: CloudResult) {
+        if self.loading.is_none() {
+            self.cloud_answered(now, op, result);
+        }
+    }
+
+    /// A worker answered direct commands, or didn't.
+    pub fn direct(&mut self, now: Secs, op: OpId, result: DirectResult) {
+        let Some(sent) = self.directs.remove(&op) else { return };
+        let Some(m) = self.machines.get_mut(&sent.machine) else { return };
+        if m.direct == Some(op) {
+            m.direct = None;
+        }
+        let unknown = result == DirectResult::Unknown;
+        match result {
+            DirectResult::Report(_, report) => {
+                self.absorb(now, &report);
+                self.place_due = true;
+                return;
+            }
+            DirectResult::NotSent | DirectResult::Unknown => {
+                m.direct_after = now + DIRECT_BACKOFF_S;
+                if m.session != sent.session {
+                    return;
+                }
+            }
+        }
+        for task in sent.starts {
+            let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
+            if let Some(live) = live
+                && live.machine == sent.machine
+            {
+                // May still arrive, minutes later: it is in doubt, and its
+                // attempt must never be cleared while the session lasts.
+                live.doubt |= unknown;
+                if live.phase == Phase::Sent {
+                    live.phase = Phase::Ready;
+                }
+            }
+        }
+    }
+
+    fn show_progress(&mut self, now: Secs, out: &mut Out) {
+        if now < self.next_show {
+            return;
+        }
+        self.next_show = now + PROGRESS_EVERY_S;
+        let mut news = Vec::new();
+        for (id, job) in &self.jobs {
+            let running = job.live.values().filter(|l| l.phase == Phase::Running).count() as u32;
+            let figures = (job.finished.len(), running);
+            if self.shown.get(id) != Some(&figures) {
+                self.shown.insert(id.clone(), figures);
+                news.push((id.clone(), figures.0, figures.1));
+            }
+        }
+        let gone: BTreeSet<JobId> =
+            self.shown.keys().filter(|id| !self.jobs.contains_key(*id)).cloned().collect();
+        self.shown.retain(|id, _| !gone.contains(id));
+        if !news.is_empty() {
+            out.actions.push(crate::event::Action::ShowProgress(news));
+        }
+    }
+
+    /// CPUs and GPUs that a team's tasks use or may use.
+    pub(crate) fn team_usage(&self) -> BTreeMap<String, [f64; 2]> {
+        let mut usage: BTreeMap<String, [f64; 2]> = BTreeMap::new();
+        for job in self.jobs.values() {
+            let n = (job.live.len() + job.limbo.len()) as f64;
+            let slot = usage.entry(job.spec().team.clone()).or_default();
+            slot[0] += n * job.spec().cpus;
+            slot[1] += n * job.spec().gpus;
+        }
+        usage
+    }
+
+    /// How many service tasks wait.
+    pub(crate) fn waiting_services(&self) -> impl Iterator<Item = &Job> {
+        self.jobs.values().filter(|j| j.spec().kind == Kind::Service && j.waiting() > 0)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,1 +1,17 @@
+//! The scheduler without input or output: events and time in, actions out.
 
+pub mod consts;
+pub mod desk;
+pub mod election;
+pub mod event;
+pub mod facts;
+pub mod fleet;
+mod hire;
+pub mod jobs;
+pub mod leader;
+pub mod node;
+mod place;
+mod recover;
+pub mod replica;
+mod reports;
+mod writer;
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,271 @@
+//! One controller: events and time in, actions out.
+
+use crate::consts::*;
+use crate::desk::{Around, Desk};
+use crate::election::{Election, Turn};
+use crate::event::*;
+use crate::facts::Facts;
+use crate::leader::Leader;
+use crate::replica::{Change, Replica};
+use marblebarrow_proto::ids::{JobId, NodeId};
+use marblebarrow_proto::records::TERM;
+use marblebarrow_proto::wire::MachineType;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A controller's whole state.
+#[derive(Debug)]
+pub struct Node {
+    facts: Arc<Facts>,
+    election: Election,
+    replica: Replica,
+    desk: Desk,
+    leader: Option<Leader>,
+    types: Option<Vec<MachineType>>,
+    types_op: Option<OpId>,
+    next_types: Secs,
+    out: Out,
+    store_fails: u32,
+    store_ok_at: Secs,
+    probe: Option<OpId>,
+    next_beat: Secs,
+    peers_ok: BTreeMap<NodeId, (Secs, bool)>,
+    log: Vec<String>,
+}
+
+impl Node {
+    /// A fresh process. `boot` is random and tells it from earlier ones.
+    pub fn new(facts: Facts, boot: u64, now: Secs) -> Self {
+        let facts = Arc::new(facts);
+        let election =
+            Election::new(facts.node.clone(), facts.others.clone(), boot, now).founded();
+        Self {
+            facts,
+            election,
+            replica: Replica::default(),
+            desk: Desk::default(),
+            leader: None,
+            types: None,
+            types_op: None,
+            next_types: now,
+            out: Out::default(),
+            store_fails: 0,
+            store_ok_at: now,
+            probe: None,
+            next_beat: now,
+            peers_ok: BTreeMap::new(),
+            log: Vec::new(),
+        }
+    }
+
+    /// What is to be done since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.out.actions)
+    }
+
+    /// Decisions since the last call, for the log.
+    pub fn take_log(&mut self) -> Vec<String> {
+        let mut log = std::mem::take(&mut self.log);
+        if let Some(l) = &mut self.leader {
+            log.append(&mut l.log);
+        }
+        log
+    }
+
+    /// The leader's state, while in office. For tests.
+    pub fn leader(&self) -> Option<&Leader> {
+        self.leader.as_ref()
+    }
+
+    /// Whether this controller may act for all of them now.
+    pub fn may_act(&self, now: Secs) -> bool {
+        self.election.may_act(now)
+    }
+
+    fn store_bad(&self) -> bool {
+        self.store_fails >= STORE_BAD_AFTER
+    }
+
+    /// When [`Node::tick`] should be called at the latest.
+    pub fn wake(&self, now: Secs) -> Secs {
+        let usual = now + if self.leader.is_some() { 0.05 } else { 0.1 };
+        self.desk.wake().map_or(usual, |w| usual.min(w))
+    }
+
+    /// Takes an event.
+    pub fn handle(&mut self, now: Secs, wall_ms: u64, event: Event) {
+        match event {
+            Event::User(to, UserRequest::Health) => self.health(now, to),
+            Event::User(to, req) => self.with_desk(now, wall_ms, |desk, a, out| desk.ask(a, to, req, out)),
+            Event::Report(to, report) => self.report(now, to, &report),
+            Event::Store(op, result) => self.store(now, wall_ms, op, result),
+            Event::Watch(news) => {
+                let changes = self.replica.apply(news);
+                for change in &changes {
+                    if matches!(change, Change::Leader | Change::All) {
+                        let turn = self.election.leader_changed(now, &self.replica);
+                        self.turn(now, turn);
+                    }
+                    if let Some(l) = &mut self.leader {
+                        l.change(now, wall_ms, change, &self.replica);
+                    }
+                }
+            }
+            Event::Cloud(op, result) => {
+                if self.types_op == Some(op) {
+                    self.types_op = None;
+                    if let CloudResult::Types(types) = result {
+                        self.types = Some(types);
+                    }
+                } else if let Some(l) = &mut self.leader {
+                    l.cloud(now, op, result);
+                }
+            }
+            Event::Direct(op, result) => {
+                if let Some(l) = &mut self.leader {
+                    l.direct(now, op, result);
+                }
+            }
+            Event::Peer(news) => self.peer(now, news),
+        }
+    }
+
+    /// Steps with time; call after each batch of events.
+    pub fn tick(&mut self, now: Secs, wall_ms: u64) {
+        let turn = self.election.tick(now, &self.replica, &mut self.out);
+        self.turn(now, turn);
+        if self.election.may_act(now)
+            && let Some(l) = &mut self.leader
+        {
+            l.tick(now, wall_ms, &self.replica, &mut self.out);
+            for (id, end) in l.take_finals() {
+                self.desk.remember(&id, end);
+            }
+        }
+        self.with_desk(now, wall_ms, |desk, a, out| desk.tick(a, out));
+        if now >= self.next_beat {
+            self.next_beat = now + BEAT_EVERY_S;
+            self.out.actions.push(Action::Beat(!self.store_bad()));
+        }
+        if self.probe.is_none() && now - self.store_ok_at > STORE_PROBE_S {
+            self.probe = Some(self.out.store(StoreRequest::Get(TERM.into())));
+        }
+        let known = self.types.is_some() || self.replica.types.is_some();
+        if !known && self.types_op.is_none() && now >= self.next_types {
+            self.next_types = now + CLOUD_RETRY_S * 2.0;
+            self.types_op = Some(self.out.cloud(CloudRequest::Types));
+        }
+    }
+
+    fn with_desk(&mut self, now: Secs, wall_ms: u64, f: impl FnOnce(&mut Desk, &Around<'_>, &mut Out)) {
+        let around = Around {
+            now,
+            wall_ms,
+            facts: &self.facts,
+            replica: &self.replica,
+            types: self.types.as_deref().or(self.replica.types.as_deref()),
+            store_bad: self.store_fails >= STORE_BAD_AFTER,
+        };
+        f(&mut self.desk, &around, &mut self.out);
+    }
+
+    // Healthy if the store serves us, or serves nobody: in an outage of the
+    // store no controller is better than another.
+    fn health(&mut self, now: Secs, to: ReplyTo) {
+        let peer_served =
+            self.peers_ok.values().any(|&(at, ok)| ok && now - at < BEAT_FRESH_S);
+        let healthy = self.replica.synced && !(self.store_bad() && peer_served);
+        let answer = if healthy { Answer::Healthy } else { Answer::Unavailable(RETRY_STORE_S) };
+        self.out.reply(to, answer);
+    }
+
+    fn report(&mut self, now: Secs, to: ReplyTo, report: &marblebarrow_proto::wire::Report) {
+        if self.election.may_act(now)
+            && let Some(l) = &mut self.leader
+        {
+            return l.report(now, to, report, &mut self.out);
+        }
+        let leader = self.replica.leader.as_ref().map(|(r, _)| r.node.clone());
+        let elsewhere = leader.filter(|n| *n != self.facts.node);
+        self.out.reply(to, Answer::Elsewhere(elsewhere));
+    }
+
+    fn store(&mut self, now: Secs, wall_ms: u64, op: OpId, result: StoreResult) {
+        match result {
+            StoreResult::Refused | StoreResult::Unknown => {
+                self.store_fails = self.store_fails.saturating_add(1);
+            }
+            _ => {
+                self.store_fails = 0;
+                self.store_ok_at = now;
+            }
+        }
+        if self.probe == Some(op) {
+            self.probe = None;
+            return;
+        }
+        if let Some(turn) = self.election.store(now, op, &result, &mut self.out) {
+            return self.turn(now, turn);
+        }
+        let mut ours = false;
+        self.with_desk(now, wall_ms, |desk, a, out| ours = desk.store(a, op, &result, out));
+        if ours {
+            return;
+        }
+        if let Some(l) = &mut self.leader
+            && !l.store(now, wall_ms, op, result, &self.replica, &mut self.out)
+        {
+            let turn = self.election.lose(now);
+            self.turn(now, turn);
+        }
+    }
+
+    fn turn(&mut self, now: Secs, turn: Turn) {
+        match turn {
+            Turn::None => {}
+            Turn::Won => {
+                if let Some(held) = self.election.held().cloned() {
+                    self.log.push(format!("event=won term={}", held.term.0));
+                    let facts = self.facts.clone();
+                    self.leader =
+                        Some(Leader::new(facts, held.term, held.version, now, &mut self.out));
+                }
+            }
+            Turn::Lost => {
+                self.log.push("event=lost".into());
+                self.leader = None;
+            }
+        }
+    }
+
+    fn peer(&mut self, now: Secs, news: PeerNews) {
+        match news {
+            PeerNews::Beat(node, ok) => {
+                self.peers_ok.insert(node, (now, ok));
+            }
+            PeerNews::PledgeAsked { reply, from, term } => {
+                let refuses = self.store_bad();
+                self.election.pledge_asked(
+                    now,
+                    reply,
+                    &from,
+                    term,
+                    &self.replica,
+                    refuses,
+                    &mut self.out,
+                );
+            }
+            PeerNews::Pledged(node, sent) => self.election.pledged(node, sent),
+            PeerNews::Progress(jobs) => {
+                let known: Vec<(JobId, (u32, u32))> = jobs
+                    .into_iter()
+                    .filter(|(id, ..)| self.replica.specs.contains_key(id))
+                    .map(|(id, done, running)| (id, (done, running)))
+                    .collect();
+                self.desk.progress.extend(known);
+                let specs = &self.replica.specs;
+                self.desk.progress.retain(|id, _| specs.contains_key(id));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/place.rs
@@ -0,0 +1,341 @@
+//! Who runs where: the paper's queues, and what the rules add to them.
+//!
+//! Services go first, in order of rank and arrival; then arrays: thin jobs from
+//! the top queue, pilots of wide jobs from the second, sized jobs from the
+//! queue that pilot time × tasks picks; queues share by weight, each serves its
+//! jobs first-come. What is then idle takes tasks that wait for their pilots,
+//! in order of arrival.
+
+use crate::consts::*;
+use crate::event::Secs;
+use crate::jobs::{Job, Live, Phase};
+use crate::leader::Leader;
+use marblebarrow_proto::ids::{Attempt, JobId, MachineId, TaskId};
+use marblebarrow_proto::job::{JobSpec, Kind};
+use marblebarrow_proto::wire::MachineType;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+/// What a pass knows beyond the leader's state.
+struct Pass {
+    now: Secs,
+    usage: BTreeMap<String, [f64; 2]>,
+    types: BTreeMap<String, MachineType>,
+}
+
+/// Which of a job's tasks a queue may serve.
+#[derive(Clone, Copy, PartialEq)]
+enum Serve {
+    Pilots,
+    All,
+}
+
+impl Leader {
+    /// Places what can be placed now.
+    pub(crate) fn place(&mut self, now: Secs) {
+        let types =
+            self.hire.types.iter().map(|t| (t.name.clone(), t.clone())).collect::<BTreeMap<_, _>>();
+        let mut pass = Pass { now, usage: self.team_usage(), types };
+        if pass.types.is_empty() {
+            return;
+        }
+        self.place_services(&mut pass);
+        // First those within their team's guarantee, then all.
+        for guaranteed in [true, false] {
+            self.place_arrays(&mut pass, guaranteed);
+        }
+    }
+
+    fn place_services(&mut self, pass: &mut Pass) {
+        let mut ids: Vec<(Reverse<marblebarrow_proto::job::Priority>, Secs, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.spec().kind == Kind::Service && j.waiting() > 0)
+            .map(|(id, j)| (Reverse(j.spec().priority), j.arrived, id.clone()))
+            .collect();
+        ids.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        for (_, _, id) in ids {
+            loop {
+                let Some(n) = self.jobs.get_mut(&id).and_then(|j| j.next_task(pass.now)) else {
+                    break;
+                };
+                if !self.place_task(pass, &id, n, false) && !self.preempt_for(pass, &id, n) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn place_arrays(&mut self, pass: &mut Pass, guaranteed: bool) {
+        let now = pass.now;
+        let mut queues: Vec<Vec<(u8, Secs, JobId, Serve)>> = vec![Vec::new(); QUEUES];
+        let mut unsized_jobs = Vec::new();
+        let mut used = [0.0f64; QUEUES];
+        for (id, job) in &self.jobs {
+            if job.spec().kind != Kind::Array {
+                continue;
+            }
+            let q = job.queue.map_or(PILOT_QUEUE, usize::from);
+            used[q] += job.live.len() as f64 * job.spec().cpus.max(1e-3);
+            if job.waiting() == 0 || guaranteed && !self.within_guarantee(pass, job) {
+                continue;
+            }
+            let urgent = job.due().is_some_and(|due| due - now - job.likely_run() < URGENT_SLACK_S);
+            // A rank above the usual goes first in its queue; so does a job
+            // about to miss its deadline.
+            let order = if urgent { 0 } else { 1 };
+            let rank = 3 - job.spec().priority as u8;
+            let serve = if job.queue.is_none() { Serve::Pilots } else { Serve::All };
+            queues[q].push((rank * 2 + order, job.arrived, id.clone(), serve));
+            if serve == Serve::Pilots {
+                unsized_jobs.push((rank, job.arrived, id.clone()));
+            }
+        }
+        for q in &mut queues {
+            // Kept reversed: the head is popped from the end.
+            q.sort_by(|a, b| b.0.cmp(&a.0).then(b.1.total_cmp(&a.1)).then(b.2.cmp(&a.2)));
+        }
+        loop {
+            let weight = |q: usize| QUEUE_GROWTH.powi(-(q as i32));
+            let next = (0..QUEUES)
+                .filter(|&q| !queues[q].is_empty())
+                .min_by(|&a, &b| (used[a] / weight(a)).total_cmp(&(used[b] / weight(b))));
+            let Some(q) = next else { break };
+            let Some((_, _, id, serve)) = queues[q].last().cloned() else { break };
+            match self.place_next(pass, &id, serve, guaranteed) {
+                Some(cpus) => used[q] += cpus,
+                None => {
+                    queues[q].pop();
+                }
+            }
+        }
+        unsized_jobs.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        for (_, _, id) in unsized_jobs {
+            while self.place_next(pass, &id, Serve::All, guaranteed).is_some() {}
+        }
+    }
+
+    fn place_next(
+        &mut self,
+        pass: &mut Pass,
+        id: &JobId,
+        serve: Serve,
+        guaranteed: bool,
+    ) -> Option<f64> {
+        let job = self.jobs.get(id)?;
+        if guaranteed && !self.within_guarantee(pass, job) {
+            return None;
+        }
+        let job = self.jobs.get_mut(id)?;
+        let n = match serve {
+            Serve::Pilots => job.next_pilot(pass.now)?,
+            Serve::All => job.next_task(pass.now)?,
+        };
+        let pilot = serve == Serve::Pilots;
+        let cpus = job.spec().cpus.max(1e-3);
+        self.place_task(pass, id, n, pilot).then_some(cpus)
+    }
+
+    /// Whether one more task of the job stays within its team's guarantee.
+    fn within_guarantee(&self, pass: &Pass, job: &Job) -> bool {
+        let spec = job.spec();
+        let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else {
+            return false;
+        };
+        let used = pass.usage.get(&spec.team).copied().unwrap_or_default();
+        used[0] + spec.cpus <= team.cpus + 1e-9 && used[1] + spec.gpus <= team.gpus + 1e-9
+    }
+
+    fn within_limit(&self, pass: &Pass, spec: &JobSpec) -> bool {
+        let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else {
+            return false;
+        };
+        let used = pass.usage.get(&spec.team).copied().unwrap_or_default();
+        let over = |have: f64, more: f64, limit: f64| limit > 0.0 && have + more > limit + 1e-9;
+        !over(used[0], spec.cpus, team.cpus_max) && !over(used[1], spec.gpus, team.gpus_max)
+    }
+
+    /// Whether a task of the job may start on a machine as far as type, zone
+    /// and kind go, given the job's other tasks.
+    fn allowed(&self, job: &Job, machine: &MachineId, pass: &Pass) -> bool {
+        let Some(m) = self.machines.get(machine) else { return false };
+        let spec = job.spec();
+        let info = &m.info;
+        if !pass.types.contains_key(&info.kind)
+            || info.spot && !spec.spot
+            || spec.zone.as_ref().is_some_and(|z| *z != info.zone)
+            || spec.types.as_ref().is_some_and(|t| !t.contains(&info.kind))
+        {
+            return false;
+        }
+        if !spec.one_zone && !spec.spread {
+            return true;
+        }
+        // Tasks that may run in places unknown: no promise about zones.
+        if !job.limbo.is_empty() {
+            return false;
+        }
+        let zone_of = |l: &Live| self.machines.get(&l.machine).map(|m| m.info.zone.as_str());
+        let here = job.live.values().filter(|l| zone_of(l) == Some(&info.zone)).count();
+        if spec.one_zone && here != job.live.len() {
+            return false;
+        }
+        !spec.spread || here as u32 + 1 <= spec.tasks.div_ceil(2)
+    }
+
+    /// Places one task on the best machine with room.
+    fn place_task(&mut self, pass: &mut Pass, id: &JobId, n: u32, pilot: bool) -> bool {
+        let Some(job) = self.jobs.get(id) else { return false };
+        let spec = job.spec();
+        if !self.within_limit(pass, spec) {
+            return false;
+        }
+        let task = TaskId { job: id.clone(), index: n };
+        let mut best: Option<((bool, bool, u64, i64), MachineId)> = None;
+        for (mid, m) in &self.machines {
+            if !m.usable(pass.now, self.facts.report_s) {
+                continue;
+            }
+            let Some(t) = pass.types.get(&m.info.kind) else { continue };
+            let free = m.free(t);
+            if !fits(spec, &free)
+                || !self.allowed(job, mid, pass)
+                || m.exited.keys().any(|(e, _)| *e == task)
+            {
+                continue;
+            }
+            // First machines on which the job didn't fail, with the image (or
+            // quickest to fetch it), then the kind that is cheapest to use
+            // up, then the fullest, so that idle machines can be returned.
+            let fetch = if m.has_image(&spec.image) {
+                0
+            } else {
+                (spec.image_gb / t.fetch_gb_per_s.max(1e-3) * 10.0) as u64
+            };
+            let scarce = spec.spot && !m.info.spot;
+            let score = (job.avoids(mid), scarce, fetch, (free[0] * 100.0) as i64);
+            if best.as_ref().is_none_or(|(s, _)| score < *s) {
+                best = Some((score, mid.clone()));
+            }
+        }
+        let Some((_, machine)) = best else { return false };
+        self.put(pass, id, n, &machine, pilot);
+        true
+    }
+
+    fn put(&mut self, pass: &mut Pass, id: &JobId, n: u32, machine: &MachineId, pilot: bool) {
+        self.next_attempt += 1;
+        let attempt = Attempt::new(self.term, self.next_attempt);
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let live = Live {
+            machine: machine.clone(),
+            attempt,
+            phase: Phase::Placed,
+            since: pass.now,
+            ran_from: None,
+            doubt: false,
+            stop: None,
+            pilot,
+        };
+        let new = !job.stored_started.contains(n);
+        job.place(n, live);
+        let spec = job.record.spec.clone();
+        let used = pass.usage.entry(spec.team).or_default();
+        used[0] += spec.cpus;
+        used[1] += spec.gpus;
+        if new {
+            self.writer.touch_task(id, n);
+        }
+        self.attach(id, n, machine);
+        if let Some(m) = self.machines.get_mut(machine) {
+            m.push = true;
+            self.writer.want_machine(machine, m);
+        }
+        self.log.push(format!(
+            "event=place task={id}/{n} attempt={} machine={machine} term={}",
+            attempt.0, self.term.0
+        ));
+    }
+
+    /// Makes room for a service by stopping tasks of lower rank, those that
+    /// lose least first.
+    fn preempt_for(&mut self, pass: &mut Pass, id: &JobId, n: u32) -> bool {
+        let Some(job) = self.jobs.get(id) else { return false };
+        let spec = job.spec().clone();
+        if !self.within_limit(pass, &spec) {
+            return false;
+        }
+        let mut best: Option<((bool, u64), MachineId, Vec<TaskId>)> = None;
+        for (mid, m) in &self.machines {
+            if !m.usable(pass.now, self.facts.report_s) || !self.allowed(job, mid, pass) {
+                continue;
+            }
+            let Some(t) = pass.types.get(&m.info.kind) else { continue };
+            let mut free = m.free(t);
+            let mut victims: Vec<(f64, TaskId, [f64; 3])> = m
+                .tasks
+                .iter()
+                .filter_map(|task| {
+                    let j = self.jobs.get(&task.job)?;
+                    let l = j.live.get(&task.index)?;
+                    let s = j.spec();
+                    let stoppable = s.priority < spec.priority
+                        && s.kind == Kind::Array
+                        && l.stop.is_none()
+                        && !l.doubt
+                        && l.phase != Phase::Sent;
+                    let lost = l.ran_from.map_or(0.0, |f| pass.now - f);
+                    stoppable.then(|| (lost, task.clone(), [s.cpus, s.gpus, s.memory_gb]))
+                })
+                .collect();
+            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut chosen = Vec::new();
+            let mut lost = 0.0;
+            for (l, task, frees) in victims {
+                if fits(&spec, &free) {
+                    break;
+                }
+                (0..3).for_each(|i| free[i] += frees[i]);
+                lost += l * frees[0];
+                chosen.push(task);
+            }
+            if !fits(&spec, &free) {
+                continue;
+            }
+            let score = (!m.has_image(&spec.image), (lost * 10.0) as u64);
+            if best.as_ref().is_none_or(|(s, ..)| score < *s) {
+                best = Some((score, mid.clone(), chosen));
+            }
+        }
+        let Some((_, machine, victims)) = best else { return false };
+        for task in victims {
+            self.log.push(format!("event=preempt task={task} for={id} machine={machine}"));
+            self.preempt(pass.now, &task);
+        }
+        self.put(pass, id, n, &machine, false);
+        true
+    }
+
+    fn preempt(&mut self, now: Secs, task: &TaskId) {
+        let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
+        let Some(live) = live else { return };
+        if matches!(live.phase, Phase::Placed | Phase::Ready) {
+            return self.over(&task.job, task.index, crate::jobs::Outcome::Lost, now);
+        }
+        live.stop = Some(0.0);
+        // Tasks that are told to stop at once free their room before the
+        // command behind the stop is executed, so the room counts as free.
+        let machine = live.machine.clone();
+        let Some(spec) = self.jobs.get(&task.job).map(|j| j.record.spec.clone()) else { return };
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.used[0] -= spec.cpus;
+            m.used[1] -= spec.gpus;
+            m.used[2] -= spec.memory_gb;
+            m.freed.insert(task.clone());
+        }
+    }
+}
+
+fn fits(spec: &JobSpec, free: &[f64; 3]) -> bool {
+    spec.cpus <= free[0] + 1e-9 && spec.gpus <= free[1] + 1e-9 && spec.memory_gb <= free[2] + 1e-9
+}
--- /dev/null
+++ b/crates/core/src/recover.rs
@@ -0,0 +1,173 @@
+//! Taking over: load the records, then re-launch nothing that an earlier
+//! leader started until every recorded machine has reported under our term,
+//! was released, or outlived its lease since we took office.
+
+use crate::event::{OpId, Out, Secs, StoreRequest, StoreResult};
+use crate::fleet::{Machine, Recorded};
+use crate::leader::Leader;
+use crate::replica::Replica;
+use marblebarrow_proto::cbor::from_value;
+use marblebarrow_proto::ids::{JobId, MachineId};
+use marblebarrow_proto::records::{
+    MACHINES, MachineRecord, PROGRESS, ProgressRecord, parse_progress_key,
+};
+use marblebarrow_proto::wire::Item;
+use crate::consts::STORE_RETRY_S;
+use crate::jobs::Job;
+
+/// The reads of a new leader.
+#[derive(Debug)]
+pub(crate) struct Loading {
+    op: Option<OpId>,
+    retry_at: Secs,
+    machines: bool,
+    after: String,
+    progress_items: Vec<Item>,
+    machine_items: Vec<Item>,
+    complete: bool,
+}
+
+impl Leader {
+    pub(crate) fn start_loading(&mut self, out: &mut Out) {
+        let op = out.store(StoreRequest::Range { prefix: PROGRESS.into(), after: String::new() });
+        self.loading = Some(Loading {
+            op: Some(op),
+            retry_at: 0.0,
+            machines: false,
+            after: String::new(),
+            progress_items: Vec::new(),
+            machine_items: Vec::new(),
+            complete: false,
+        });
+    }
+
+    pub(crate) fn keep_loading(&mut self, now: Secs, wall_ms: u64, replica: &Replica, out: &mut Out) {
+        let Some(l) = &mut self.loading else { return };
+        if l.complete {
+            return self.take_office(now, wall_ms, replica, out);
+        }
+        if l.op.is_none() && now >= l.retry_at {
+            let prefix = if l.machines { MACHINES } else { PROGRESS };
+            l.op = Some(out.store(StoreRequest::Range { prefix: prefix.into(), after: l.after.clone() }));
+        }
+    }
+
+    pub(crate) fn loaded(
+        &mut self,
+        now: Secs,
+        wall_ms: u64,
+        op: OpId,
+        result: StoreResult,
+        replica: &Replica,
+        out: &mut Out,
+    ) {
+        let Some(l) = &mut self.loading else { return };
+        if l.op != Some(op) {
+            return;
+        }
+        l.op = None;
+        let StoreResult::Page(page) = result else {
+            l.retry_at = now + STORE_RETRY_S;
+            return;
+        };
+        l.after = page.items.last().map_or_else(String::new, |i| i.key.clone());
+        let into = if l.machines { &mut l.machine_items } else { &mut l.progress_items };
+        into.extend(page.items);
+        if !page.more {
+            l.after.clear();
+            if l.machines {
+                l.complete = true;
+            }
+            l.machines = true;
+        }
+        self.keep_loading(now, wall_ms, replica, out);
+    }
+
+    // The copy of the watched keys must have reached our own election: only
+    // then does it hold every job accepted before, and what comes later comes
+    // as a change.
+    fn take_office(&mut self, now: Secs, wall_ms: u64, replica: &Replica, out: &mut Out) {
+        if replica.leader.as_ref().is_none_or(|(_, v)| *v < self.version) {
+            return;
+        }
+        let Some(l) = self.loading.take() else { return };
+        let ids: Vec<JobId> = replica.specs.keys().cloned().collect();
+        for id in &ids {
+            self.learn_job(now, wall_ms, id, replica);
+        }
+        for item in l.progress_items {
+            let Some((id, part)) = parse_progress_key(&item.key) else { continue };
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            if let Ok(record) = from_value::<ProgressRecord>(&item.value) {
+                restore(job, part, item.version, &record);
+            }
+        }
+        for (id, job) in &mut self.jobs {
+            job.limbo =
+                job.started.iter().filter(|n| !job.finished.contains(*n)).collect();
+            if job.complete() {
+                self.writer.close(id);
+            }
+        }
+        for item in l.machine_items {
+            let Some(name) = item.key.strip_prefix(MACHINES) else { continue };
+            let Ok(info) = from_value::<MachineRecord>(&item.value) else { continue };
+            let mut m = Machine::new(info, now);
+            m.recorded = Recorded::Yes(item.version);
+            self.machines.insert(MachineId::new(name), m);
+        }
+        self.log.push(format!(
+            "event=office term={} jobs={} machines={}",
+            self.term.0,
+            self.jobs.len(),
+            self.machines.len()
+        ));
+        // An order without commands shows each worker our token at once, so
+        // that older orders under way to it are void and its answer is whole.
+        let names: Vec<MachineId> = self.machines.keys().cloned().collect();
+        for name in names {
+            self.send_direct(&name, 1, Vec::new(), Vec::new(), out);
+        }
+    }
+
+    /// Ends recovery once every recorded machine is accounted for.
+    pub(crate) fn check_recovered(&mut self, now: Secs) {
+        if !self.recovering
+            || self.machines.values().any(|m| m.recorded != Recorded::No && !m.confirmed)
+        {
+            return;
+        }
+        self.recovering = false;
+        let mut freed = 0;
+        for job in self.jobs.values_mut() {
+            for n in std::mem::take(&mut job.limbo) {
+                job.again.insert(n, now);
+                freed += 1;
+            }
+        }
+        let cut: Vec<JobId> =
+            self.jobs.iter().filter(|(_, j)| j.cancelled).map(|(id, _)| id.clone()).collect();
+        for id in cut {
+            self.writer.close(&id);
+        }
+        self.place_due = true;
+        self.log.push(format!("event=recovered term={} freed={freed}", self.term.0));
+    }
+}
+
+fn restore(job: &mut Job, part: u32, version: u64, record: &ProgressRecord) {
+    let Some(slot) = job.parts.get_mut(part as usize) else { return };
+    *slot = version;
+    let (start, len) = Job::part_range(part);
+    record.started.unpack(start, len, &mut job.started);
+    record.finished.unpack(start, len, &mut job.finished);
+    record.started.unpack(start, len, &mut job.stored_started);
+    record.finished.unpack(start, len, &mut job.stored_finished);
+    if part == 0 && record.mean_ms > 0 {
+        // Resampled, but not from nothing.
+        job.runs = (1, record.mean_ms as f64 / 1e3);
+    }
+    if part == 0 && record.queue.is_some() {
+        job.queue = record.queue;
+    }
+}
--- /dev/null
+++ b/crates/core/src/reports.rs
@@ -0,0 +1,388 @@
+//! Workers: what their reports prove, and which commands they get.
+
+use crate::consts::*;
+use crate::event::{Action, Answer, Out, Secs};
+use crate::fleet::{Machine, Recorded};
+use crate::jobs::{Live, Outcome, Phase};
+use crate::leader::{DirectSent, Leader};
+use marblebarrow_proto::ids::{MachineId, TaskId};
+use marblebarrow_proto::records::MachineRecord;
+use marblebarrow_proto::wire::{Command, Report, ReportAnswer, ReportTask, TaskState, Why};
+use std::collections::BTreeSet;
+
+impl Leader {
+    /// Takes a report and answers it; `None`: must not be answered with 200.
+    pub(crate) fn answer_report(&mut self, now: Secs, report: &Report) -> Option<Answer> {
+        if self.tombs.contains_key(&report.machine) {
+            return None;
+        }
+        let token = self.term.0;
+        if self.loading.is_some() {
+            // Leases go on; machines are counted from when loading ends.
+            return Some(Answer::Report(ReportAnswer { token, commands: Vec::new() }));
+        }
+        self.absorb(now, report);
+        let m = self.machines.get_mut(&report.machine)?;
+        if m.lapsed.is_some() || report.session < m.session {
+            return None;
+        }
+        m.answered = now;
+        let commands = if m.direct.is_none() {
+            let (commands, _) = self.compose(&report.machine);
+            commands
+        } else {
+            // Orders are under way directly: two ways at once would cross.
+            Vec::new()
+        };
+        Some(Answer::Report(ReportAnswer { token, commands }))
+    }
+
+    /// Takes a report's news, unless a newer message was taken before.
+    pub(crate) fn absorb(&mut self, now: Secs, report: &Report) {
+        if self.tombs.contains_key(&report.machine) {
+            return;
+        }
+        let id = &report.machine;
+        let m = self.machines.entry(id.clone()).or_insert_with(|| {
+            Machine::new(
+                MachineRecord {
+                    kind: report.kind.clone(),
+                    zone: report.zone.clone(),
+                    spot: report.spot,
+                    addr: report.addr.clone(),
+                    images: Vec::new(),
+                },
+                now,
+            )
+        });
+        self.hire.heard(id);
+        if m.lapsed.is_some_and(|s| report.session <= s)
+            || (report.session, report.seq) <= (m.session, m.seq)
+        {
+            return;
+        }
+        let new_session = m.session != 0 && report.session > m.session;
+        if new_session {
+            self.lose_tasks(id, now);
+        }
+        let Some(m) = self.machines.get_mut(id) else { return };
+        if m.heard.is_none() || m.lapsed.is_some() || m.session != report.session {
+            self.place_due = true;
+        }
+        m.lapsed = None;
+        m.session = report.session;
+        m.seq = report.seq;
+        m.token = m.token.max(report.token);
+        m.heard = Some(now);
+        if m.info.addr != report.addr {
+            m.info.addr.clone_from(&report.addr);
+            m.dirty = m.recorded != Recorded::No;
+        }
+        m.notice = report.notice_s.map(|s| now + s);
+        // It has seen our token: whatever older leaders sent is void, and this
+        // list is all there is.
+        m.confirmed |= report.token >= self.term.0;
+        m.exited.clear();
+        m.strangers.clear();
+        let mut listed = BTreeSet::new();
+        for entry in &report.tasks {
+            self.absorb_task(now, id, entry, &mut listed);
+        }
+        self.absorb_absent(now, id, &listed);
+    }
+
+    fn absorb_task(
+        &mut self,
+        now: Secs,
+        id: &MachineId,
+        entry: &ReportTask,
+        listed: &mut BTreeSet<TaskId>,
+    ) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let Some(task) = TaskId::parse(&entry.task) else { return };
+        let key = (task.clone(), entry.attempt);
+        let Some(job) = self.jobs.get_mut(&task.job).filter(|j| task.index < j.spec().tasks) else {
+            // Over and closed, or never ours.
+            if entry.state == TaskState::Exited {
+                m.exited.insert(key, entry.why.unwrap_or(Why::Other));
+            } else {
+                m.strangers.insert(key);
+            }
+            return;
+        };
+        let n = task.index;
+        let ours = job.live.get(&n).is_some_and(|l| l.machine == *id && l.attempt == entry.attempt);
+        if entry.state == TaskState::Exited {
+            let why = entry.why.unwrap_or(Why::Other);
+            if ours && job.live.get(&n).is_some_and(|l| l.doubt) {
+                m.keep.insert(key.clone());
+            }
+            m.exited.insert(key, why);
+            self.task_ended(now, id, &task, why, ours);
+            return;
+        }
+        if ours {
+            listed.insert(task.clone());
+            let Some(live) = job.live.get_mut(&n) else { return };
+            match entry.state {
+                TaskState::Running => {
+                    live.phase = Phase::Running;
+                    live.ran_from.get_or_insert(now);
+                    let (image, gb) = (&job.record.spec.image, job.record.spec.image_gb);
+                    let cache = self.hire.cache_gb(&m.info.kind);
+                    m.touch_image(image, gb, cache);
+                }
+                _ if live.phase != Phase::Running => live.phase = Phase::Seen,
+                _ => {}
+            }
+            return;
+        }
+        // Attempts are ordered: a later one was only made when the earlier was
+        // surely gone. So of two, the smaller comes from an old report, even
+        // if this term has only just learnt of either.
+        let newer = job.live.get(&n).is_none_or(|l| l.attempt < entry.attempt);
+        if job.finished.contains(n) || !newer {
+            self.log.push(format!(
+                "event=stranger task={task} attempt={} machine={id} term={}",
+                entry.attempt.0, self.term.0
+            ));
+            m.strangers.insert(key);
+            return;
+        }
+        // Started under an earlier term: it is ours now.
+        if job.live.contains_key(&n) {
+            self.over(&task.job, n, Outcome::Lost, now);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(m) = self.machines.get_mut(id) else { return };
+        job.limbo.remove(&n);
+        job.again.remove(&n);
+        job.started.insert(n);
+        let running = entry.state == TaskState::Running;
+        let live = Live {
+            machine: id.clone(),
+            attempt: entry.attempt,
+            phase: if running { Phase::Running } else { Phase::Seen },
+            since: now,
+            ran_from: None,
+            doubt: false,
+            stop: job.cancelled.then_some(0.0),
+            pilot: false,
+        };
+        job.live.insert(n, live);
+        if running {
+            let (image, gb) = (&job.record.spec.image, job.record.spec.image_gb);
+            let cache = self.hire.cache_gb(&m.info.kind);
+            m.touch_image(image, gb, cache);
+        }
+        listed.insert(task.clone());
+        self.writer.touch_task(&task.job, n);
+        self.attach(&task.job, n, id);
+    }
+
+    fn task_ended(&mut self, now: Secs, id: &MachineId, task: &TaskId, why: Why, ours: bool) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let n = task.index;
+        let run = job.live.get(&n).and_then(|l| l.ran_from).map(|f| now - f);
+        let mean = job.mean_run();
+        let samples = job.runs.0;
+        let outcome = match why {
+            Why::Done => Outcome::Done,
+            Why::Error => Outcome::Error,
+            Why::NoRoom | Why::Busy | Why::Unknown => Outcome::Refused,
+            Why::Stopped | Why::Other => Outcome::Lost,
+        };
+        if outcome == Outcome::Done && !job.finished.contains(n) {
+            if !ours && let Some(other) = job.live.get_mut(&n) {
+                // The result is here; the other attempt is of no more use.
+                other.stop = Some(0.0);
+                let (attempt, machine) = (other.attempt, other.machine.clone());
+                if let Some(om) = self.machines.get_mut(&machine) {
+                    om.strangers.insert((task.clone(), attempt));
+                    om.push = true;
+                }
+            }
+            self.over(&task.job, n, Outcome::Done, now);
+        } else if ours {
+            self.over(&task.job, n, outcome, now);
+        }
+        if !ours {
+            return;
+        }
+        let Some(m) = self.machines.get_mut(id) else { return };
+        match outcome {
+            Outcome::Done => {
+                m.errors = 0;
+                // A machine that takes much longer than others for the same
+                // job is slow, whatever the job.
+                if let (Some(run), Some(mean)) = (run, mean)
+                    && samples >= 2
+                {
+                    if run > mean * SLOW_FACTOR { m.slow += 1 } else { m.slow = 0 }
+                }
+            }
+            Outcome::Error => {
+                let mistaken = self.jobs.get(&task.job).is_some_and(|j| j.mistaken());
+                if !mistaken {
+                    m.errors += 1;
+                }
+                self.log.push(format!("event=failed task={task} machine={id}"));
+            }
+            Outcome::Refused => {
+                self.log.push(format!("event=refused task={task} machine={id} why={why:?}"));
+            }
+            Outcome::Lost => {}
+        }
+    }
+
+    // What isn't listed is gone, unless its start may still arrive.
+    fn absorb_absent(&mut self, now: Secs, id: &MachineId, listed: &BTreeSet<TaskId>) {
+        let Some(m) = self.machines.get(id) else { return };
+        let in_flight = m.direct.is_some();
+        let absent: Vec<TaskId> = m.tasks.difference(listed).cloned().collect();
+        for task in absent {
+            let Some(live) =
+                self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index))
+            else {
+                continue;
+            };
+            match live.phase {
+                Phase::Placed | Phase::Ready if live.stop.is_none() || live.doubt => {}
+                Phase::Placed | Phase::Ready => self.over(&task.job, task.index, Outcome::Lost, now),
+                Phase::Sent if in_flight => {}
+                // Not executed, and the answer that carried it can't be any
+                // more: send it again. The same attempt starts but once.
+                Phase::Sent if live.stop.is_none() => live.phase = Phase::Ready,
+                Phase::Sent if live.doubt => {}
+                Phase::Sent | Phase::Seen | Phase::Running => {
+                    if live.doubt {
+                        // It was here and is gone, but a late copy of its
+                        // start could run it again: keep it booked and stop it.
+                        live.stop.get_or_insert(0.0);
+                        live.phase = Phase::Sent;
+                    } else {
+                        self.over(&task.job, task.index, Outcome::Lost, now);
+                    }
+                }
+            }
+        }
+    }
+
+    /// The commands a machine should get now: stops, clears, then starts.
+    pub(crate) fn compose(&mut self, id: &MachineId) -> (Vec<Command>, Vec<TaskId>) {
+        let mut commands = Vec::new();
+        let mut starts = Vec::new();
+        let Some(m) = self.machines.get_mut(id) else { return (commands, starts) };
+        m.push = false;
+        let stop = |task: &TaskId, attempt, grace_s| Command::Stop {
+            task: task.to_string(),
+            attempt,
+            grace_s,
+        };
+        for (task, attempt) in &m.strangers {
+            commands.push(stop(task, *attempt, 0.0));
+        }
+        for task in &m.tasks {
+            if let Some(live) = self.jobs.get(&task.job).and_then(|j| j.live.get(&task.index))
+                && let Some(grace_s) = live.stop
+            {
+                commands.push(stop(task, live.attempt, grace_s));
+            }
+        }
+        for (key, why) in &m.exited {
+            let (task, attempt) = key;
+            let safe = match self.jobs.get(&task.job) {
+                None => true,
+                Some(j) => *why != Why::Done || j.stored_finished.contains(task.index),
+            };
+            if safe && !m.keep.contains(key) {
+                commands.push(Command::Forget { task: task.to_string(), attempt: *attempt });
+            }
+        }
+        let recorded = matches!(m.recorded, Recorded::Yes(_));
+        let startable = recorded && m.lapsed.is_none() && !m.releasing;
+        for task in m.tasks.iter().filter(|_| startable) {
+            if commands.len() >= COMMANDS_MAX {
+                m.push = true;
+                break;
+            }
+            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+            if job.cancelled || !job.stored_started.contains(task.index) {
+                continue;
+            }
+            let Some(live) = job.live.get_mut(&task.index) else { continue };
+            if live.stop.is_none() && matches!(live.phase, Phase::Placed | Phase::Ready) {
+                live.phase = Phase::Sent;
+                commands.push(Command::Start { task: task.to_string(), attempt: live.attempt });
+                starts.push(task.clone());
+            }
+        }
+        (commands, starts)
+    }
+
+    /// Sends directly what shouldn't wait for the next report.
+    pub(crate) fn push_direct(&mut self, now: Secs, out: &mut Out) {
+        let ready: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| {
+                m.push
+                    && m.direct.is_none()
+                    && now >= m.direct_after
+                    && m.session != 0
+                    && m.lapsed.is_none()
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ready {
+            if self.directs.len() >= DIRECT_MAX {
+                break;
+            }
+            let Some(session) = self.machines.get(&id).map(|m| m.session) else { continue };
+            let (commands, starts) = self.compose(&id);
+            if !commands.is_empty() {
+                self.send_direct(&id, session, commands, starts, out);
+            }
+        }
+    }
+
+    pub(crate) fn send_direct(
+        &mut self,
+        id: &MachineId,
+        session: u64,
+        commands: Vec<Command>,
+        starts: Vec<TaskId>,
+        out: &mut Out,
+    ) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let op = out.op();
+        m.direct = Some(op);
+        out.actions.push(Action::Direct {
+            op,
+            addr: m.info.addr.clone(),
+            token: self.term.0,
+            session,
+            commands,
+        });
+        self.directs.insert(op, DirectSent { machine: id.clone(), session, starts });
+    }
+
+    /// Leases that surely ran out.
+    pub(crate) fn lapse(&mut self, now: Secs) {
+        let life = self.facts.lease_s * (1.0 + DRIFT) + LEASE_MARGIN_S;
+        let lapsed: Vec<MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.lapsed.is_none() && now > m.answered + life)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in lapsed {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.lapsed = Some(m.session);
+                m.confirmed = true;
+            }
+            self.log.push(format!("event=lapsed machine={id} term={}", self.term.0));
+            self.lose_tasks(&id, now);
+        }
+    }
+}
--- a/crates/proto/src/job.rs
+++ b/crates/proto/src/job.rs
@@ -19,9 +19,6 @@
     /// Independent tasks, each runs to completion.
     #[serde(rename = "sweep")]
     Array,
-    /// Independent tasks that only run together.
-    #[serde(rename = "gang")]
-    Gang,
     /// Replicas that run until cancelled.
     #[serde(rename = "daemon")]
     Service,
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,300 @@
+//! HTTP/1.1 over blocking sockets: what both sides share, and the client.
+
+use crate::limits::*;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+/// Why a message could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadError {
+    /// The other side closed before a message began.
+    #[error("closed")]
+    Closed,
+    /// It took too long.
+    #[error("too slow")]
+    TooSlow,
+    /// Not HTTP/1.1 as we speak it.
+    #[error("malformed")]
+    Malformed,
+    /// Larger than allowed.
+    #[error("too large")]
+    TooLarge,
+    /// The connection failed.
+    #[error("connection failed: {0}")]
+    Io(io::Error),
+}
+
+/// A request's head and body.
+#[derive(Debug)]
+pub struct Request {
+    /// Method.
+    pub method: String,
+    /// Path with query.
+    pub path: String,
+    /// Body.
+    pub body: Vec<u8>,
+    /// The sender will close.
+    pub close: bool,
+}
+
+/// A connection with its unread bytes.
+#[derive(Debug)]
+pub struct Conn {
+    stream: TcpStream,
+    buf: Vec<u8>,
+    timeout: Option<Duration>,
+}
+
+struct Head {
+    length: usize,
+    body_len: usize,
+    close: bool,
+}
+
+impl Conn {
+    /// Wraps a connected stream.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        stream.set_write_timeout(Some(WRITE_TIME))?;
+        Ok(Self { stream, buf: Vec::new(), timeout: None })
+    }
+
+    fn fill(&mut self, deadline: Instant) -> Result<(), ReadError> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(ReadError::TooSlow);
+        }
+        // Setting it costs a call; a little long is good enough.
+        if self.timeout.is_none_or(|t| t > left || t + t < left) {
+            self.stream.set_read_timeout(Some(left)).map_err(ReadError::Io)?;
+            self.timeout = Some(left);
+        }
+        let mut chunk = [0u8; 4096];
+        match self.stream.read(&mut chunk) {
+            Ok(0) => Err(ReadError::Closed),
+            Ok(n) => {
+                self.buf.extend_from_slice(&chunk[..n]);
+                Ok(())
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => Ok(()),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                Err(ReadError::TooSlow)
+            }
+            Err(e) => Err(ReadError::Io(e)),
+        }
+    }
+
+    fn body(&mut self, head: &Head, limit: usize, deadline: Instant) -> Result<Vec<u8>, ReadError> {
+        if head.body_len > limit {
+            return Err(ReadError::TooLarge);
+        }
+        let end = head.length + head.body_len;
+        while self.buf.len() < end {
+            self.fill(deadline)?;
+        }
+        let body = self.buf[head.length..end].to_vec();
+        self.buf.drain(..end);
+        if self.buf.capacity() > BODY_MAX {
+            self.buf.shrink_to(4096);
+        }
+        Ok(body)
+    }
+
+    /// Reads the next request; waits up to `idle` for its first byte.
+    pub fn read_request(&mut self, idle: Duration) -> Result<Request, ReadError> {
+        let mut deadline = Instant::now() + idle;
+        let mut begun = !self.buf.is_empty();
+        if begun {
+            deadline = Instant::now() + REQUEST_TIME;
+        }
+        loop {
+            if let Some((head, method, path)) = parse_request(&self.buf)? {
+                let body = self.body(&head, BODY_MAX, deadline)?;
+                return Ok(Request { method, path, body, close: head.close });
+            }
+            if self.buf.len() > HEAD_MAX {
+                return Err(ReadError::TooLarge);
+            }
+            self.fill(deadline)?;
+            if !begun {
+                begun = true;
+                deadline = Instant::now() + REQUEST_TIME;
+            }
+        }
+    }
+
+    /// Sends a response.
+    pub fn respond(
+        &mut self,
+        status: u16,
+        retry_after: Option<u32>,
+        body: &[u8],
+        close: bool,
+    ) -> io::Result<()> {
+        let mut out = Vec::with_capacity(160 + body.len());
+        write!(out, "HTTP/1.1 {status} {}\r\n", reason(status))?;
+        write!(out, "Content-Type: application/cbor\r\nContent-Length: {}\r\n", body.len())?;
+        if let Some(s) = retry_after {
+            write!(out, "Retry-After: {s}\r\n")?;
+        }
+        if close {
+            out.extend_from_slice(b"Connection: close\r\n");
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(body);
+        self.stream.write_all(&out)
+    }
+
+    fn read_response(&mut self, deadline: Instant) -> Result<(u16, Vec<u8>, bool), ReadError> {
+        loop {
+            if let Some((head, status)) = parse_response(&self.buf)? {
+                let body = self.body(&head, RESPONSE_MAX, deadline)?;
+                return Ok((status, body, head.close));
+            }
+            if self.buf.len() > HEAD_MAX {
+                return Err(ReadError::TooLarge);
+            }
+            self.fill(deadline)?;
+        }
+    }
+
+    /// Whether the other side has closed, or sent something unasked.
+    fn stale(&self) -> bool {
+        let mut byte = [0u8; 1];
+        if self.stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let quiet = matches!(
+            self.stream.peek(&mut byte),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock
+        );
+        !quiet || self.stream.set_nonblocking(false).is_err()
+    }
+}
+
+fn parse_request(buf: &[u8]) -> Result<Option<(Head, String, String)>, ReadError> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut req = httparse::Request::new(&mut headers);
+    match req.parse(buf) {
+        Ok(httparse::Status::Complete(length)) => {
+            let (body_len, close) = lengths(req.headers, true)?;
+            let close = close || req.version == Some(0);
+            let method = req.method.unwrap_or_default().to_owned();
+            let path = req.path.unwrap_or_default().to_owned();
+            Ok(Some((Head { length, body_len, close }, method, path)))
+        }
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(ReadError::Malformed),
+    }
+}
+
+fn parse_response(buf: &[u8]) -> Result<Option<(Head, u16)>, ReadError> {
+    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MAX];
+    let mut res = httparse::Response::new(&mut headers);
+    match res.parse(buf) {
+        Ok(httparse::Status::Complete(length)) => {
+            let (body_len, close) = lengths(res.headers, false)?;
+            let close = close || res.version == Some(0);
+            Ok(Some((Head { length, body_len, close }, res.code.unwrap_or(0))))
+        }
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(ReadError::Malformed),
+    }
+}
+
+fn lengths(headers: &[httparse::Header<'_>], request: bool) -> Result<(usize, bool), ReadError> {
+    let mut length = None;
+    let mut close = false;
+    for h in headers {
+        let value = std::str::from_utf8(h.value).unwrap_or("").trim();
+        if h.name.eq_ignore_ascii_case("content-length") {
+            let n = value.parse::<usize>().map_err(|_| ReadError::Malformed)?;
+            if length.is_some_and(|l| l != n) {
+                return Err(ReadError::Malformed);
+            }
+            length = Some(n);
+        } else if h.name.eq_ignore_ascii_case("connection") {
+            close |= value.eq_ignore_ascii_case("close");
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") && request {
+            // Lengths are always given here; two ways to say one invite tricks.
+            return Err(ReadError::Malformed);
+        }
+    }
+    Ok((length.unwrap_or(0), close))
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
+
+/// How a call failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallError {
+    /// It never left: the connection wasn't made.
+    NotSent,
+    /// It may have arrived, or may yet.
+    Unknown,
+}
+
+/// A client that keeps one connection to one address.
+#[derive(Debug)]
+pub struct Client {
+    addr: SocketAddr,
+    conn: Option<(Conn, Instant)>,
+}
+
+impl Client {
+    /// A client of that address; connects when needed.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self { addr, conn: None }
+    }
+
+    /// Asks and waits for the answer.
+    pub fn call(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        timeout: Duration,
+    ) -> Result<(u16, Vec<u8>), CallError> {
+        let kept = self
+            .conn
+            .take()
+            .filter(|(conn, used)| used.elapsed() < STALE_AFTER || !conn.stale());
+        let mut conn = match kept {
+            Some((conn, _)) => conn,
+            None => TcpStream::connect_timeout(&self.addr, CONNECT_TIME)
+                .and_then(Conn::new)
+                .map_err(|_| CallError::NotSent)?,
+        };
+        let mut out = Vec::with_capacity(160 + body.len());
+        let _ = write!(
+            out,
+            "{method} {path} HTTP/1.1\r\nHost: {}\r\nContent-Type: application/cbor\r\nContent-Length: {}\r\n\r\n",
+            self.addr,
+            body.len()
+        );
+        out.extend_from_slice(body);
+        conn.stream.write_all(&out).map_err(|_| CallError::Unknown)?;
+        let (status, body, close) =
+            conn.read_response(Instant::now() + timeout).map_err(|_| CallError::Unknown)?;
+        if !close {
+            self.conn = Some((conn, Instant::now()));
+        }
+        Ok((status, body))
+    }
+}
--- /dev/null
+++ b/src/links.rs
@@ -0,0 +1,314 @@
+//! The links to the state service, the cloud and the workers: a few threads
+//! with blocking sockets behind small queues. What finds its queue full is
+//! refused at once, so that the core knows.
+
+use crate::http::{CallError, Client};
+use crate::limits::*;
+use crate::owner::Inbox;
+use crate::peers::Peers;
+use marblebarrow_core::consts::PAGE_LIMIT;
+use marblebarrow_core::event::*;
+use marblebarrow_proto::cbor;
+use marblebarrow_proto::records::WATCHED;
+use marblebarrow_proto::wire::*;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+
+/// All links.
+pub struct Links {
+    /// State service.
+    pub store: StoreLink,
+    /// Cloud.
+    pub cloud: CloudLink,
+    /// Workers.
+    pub direct: DirectLink,
+    /// Other controllers.
+    pub peers: Peers,
+}
+
+/// Starts a thread with a small stack.
+pub fn spawn(name: &str, f: impl FnOnce() + Send + 'static) -> std::io::Result<()> {
+    thread::Builder::new().name(name.into()).stack_size(STACK).spawn(f).map(|_| ())
+}
+
+type Queue<T> = Arc<Mutex<Receiver<T>>>;
+
+fn next<T>(queue: &Queue<T>) -> Option<T> {
+    queue.lock().ok()?.recv().ok()
+}
+
+/// The link to the state service.
+pub struct StoreLink {
+    normal: SyncSender<(OpId, StoreRequest)>,
+    urgent: SyncSender<(OpId, StoreRequest)>,
+}
+
+impl StoreLink {
+    /// Starts its threads, the watch included.
+    pub fn start(addr: SocketAddr, inbox: &Inbox) -> std::io::Result<Self> {
+        let (normal, rx) = sync_channel(STORE_QUEUE);
+        let queue = Arc::new(Mutex::new(rx));
+        for _ in 0..STORE_THREADS {
+            let (queue, inbox) = (queue.clone(), inbox.clone());
+            spawn("store", move || store_thread(addr, &queue, &inbox))?;
+        }
+        // Touches and elections have a thread of their own: the leader's right
+        // to act must not wait behind a user's request.
+        let (urgent, rx) = sync_channel(STORE_QUEUE);
+        let queue = Arc::new(Mutex::new(rx));
+        let inbox2 = inbox.clone();
+        spawn("touch", move || store_thread(addr, &queue, &inbox2))?;
+        let inbox2 = inbox.clone();
+        spawn("watch", move || watch_thread(addr, &inbox2))?;
+        Ok(Self { normal, urgent })
+    }
+
+    /// Hands over a request; the event is its answer if it can't be taken.
+    pub fn send(&self, op: OpId, req: StoreRequest) -> Option<Event> {
+        let urgent = matches!(
+            req,
+            StoreRequest::Grant(_) | StoreRequest::Touch(_) | StoreRequest::Revoke(_)
+        );
+        let queue = if urgent { &self.urgent } else { &self.normal };
+        queue.try_send((op, req)).err().map(|_| Event::Store(op, StoreResult::Refused))
+    }
+}
+
+fn store_thread(addr: SocketAddr, queue: &Queue<(OpId, StoreRequest)>, inbox: &Inbox) {
+    let mut client = Client::new(addr);
+    while let Some((op, req)) = next(queue) {
+        inbox.tell(Event::Store(op, store_call(&mut client, &req)));
+    }
+}
+
+fn store_call(client: &mut Client, req: &StoreRequest) -> StoreResult {
+    let answer = match req {
+        StoreRequest::Commit(txn) => client.call("POST", "/commit", &cbor::encode(txn), STORE_TIME),
+        StoreRequest::Get(key) => client.call("GET", &format!("/store/{key}"), &[], STORE_TIME),
+        StoreRequest::Range { prefix, after } => {
+            let mut path = format!("/store?under={prefix}&limit={PAGE_LIMIT}");
+            if !after.is_empty() {
+                path += &format!("&after={after}");
+            }
+            client.call("GET", &path, &[], STORE_TIME)
+        }
+        StoreRequest::Grant(ttl_ms) => {
+            let body = cbor::encode(&GrantAsk { ttl_ms: *ttl_ms });
+            client.call("POST", "/grants", &body, TOUCH_TIME)
+        }
+        StoreRequest::Touch(grant) => {
+            client.call("POST", &format!("/grants/{grant}/touch"), &[], TOUCH_TIME)
+        }
+        StoreRequest::Revoke(grant) => {
+            client.call("DELETE", &format!("/grants/{grant}"), &[], TOUCH_TIME)
+        }
+    };
+    let (status, body) = match answer {
+        Ok(a) => a,
+        Err(CallError::NotSent) => return StoreResult::Refused,
+        Err(CallError::Unknown) => return StoreResult::Unknown,
+    };
+    match (req, status) {
+        (_, 429 | 503) => StoreResult::Refused,
+        (StoreRequest::Commit(_), 200) => {
+            cbor::decode::<TxnAnswer>(&body).map_or(StoreResult::Unknown, |a| StoreResult::Committed(a.revision))
+        }
+        (StoreRequest::Commit(_), 409) => {
+            cbor::decode::<TxnAnswer>(&body).map_or(StoreResult::Unknown, |a| StoreResult::Conflict(a.failed))
+        }
+        (StoreRequest::Get(_), 200) => {
+            cbor::decode(&body).map_or(StoreResult::Unknown, |i| StoreResult::Value(Some(i)))
+        }
+        (StoreRequest::Get(_), 404) => StoreResult::Value(None),
+        (StoreRequest::Range { .. }, 200) => {
+            cbor::decode(&body).map_or(StoreResult::Unknown, StoreResult::Page)
+        }
+        (StoreRequest::Grant(_), 200) => cbor::decode::<GrantGiven>(&body)
+            .map_or(StoreResult::Unknown, |g| StoreResult::Granted(g.grant)),
+        (StoreRequest::Touch(_) | StoreRequest::Revoke(_), 404) => StoreResult::NoGrant,
+        (StoreRequest::Touch(_) | StoreRequest::Revoke(_), 200..=299) => StoreResult::Touched,
+        (_, 400..=499) => StoreResult::Rejected,
+        _ => StoreResult::Unknown,
+    }
+}
+
+fn watch_thread(addr: SocketAddr, inbox: &Inbox) {
+    let mut client = Client::new(addr);
+    let mut at: Option<u64> = None;
+    loop {
+        let done = match at {
+            None => read_all(&mut client, inbox),
+            Some(after) => watch_once(&mut client, inbox, after),
+        };
+        match done {
+            Ok(next) => at = next,
+            Err(()) => thread::sleep(WATCH_RETRY),
+        }
+    }
+}
+
+fn read_all(client: &mut Client, inbox: &Inbox) -> Result<Option<u64>, ()> {
+    let mut items = Vec::new();
+    let mut after = String::new();
+    let mut first = None;
+    loop {
+        let req = StoreRequest::Range { prefix: WATCHED.into(), after };
+        let StoreResult::Page(page) = store_call(client, &req) else { return Err(()) };
+        // Changes made while the pages are read come with the watch.
+        first.get_or_insert(page.revision);
+        after = page.items.last().map_or_else(String::new, |i| i.key.clone());
+        items.extend(page.items);
+        if !page.more {
+            inbox.tell(Event::Watch(WatchNews::Reset { items }));
+            return Ok(first);
+        }
+    }
+}
+
+fn watch_once(client: &mut Client, inbox: &Inbox, after: u64) -> Result<Option<u64>, ()> {
+    let path = format!("/watch?under={WATCHED}&after={after}&block_ms={WATCH_MS}");
+    let wait = std::time::Duration::from_millis(WATCH_MS) + WATCH_SLACK;
+    match client.call("GET", &path, &[], wait) {
+        Ok((200, body)) => {
+            let answer: WatchAnswer = cbor::decode(&body).map_err(|_| ())?;
+            if !answer.events.is_empty() {
+                inbox.tell(Event::Watch(WatchNews::Events(answer.events)));
+            }
+            Ok(Some(answer.revision.max(after)))
+        }
+        Ok((410, _)) => Ok(None),
+        _ => Err(()),
+    }
+}
+
+/// The link to the cloud.
+pub struct CloudLink(SyncSender<(OpId, CloudRequest)>);
+
+impl CloudLink {
+    /// Starts its threads.
+    pub fn start(addr: SocketAddr, inbox: &Inbox) -> std::io::Result<Self> {
+        let (tx, rx) = sync_channel(CLOUD_QUEUE);
+        let queue: Queue<(OpId, CloudRequest)> = Arc::new(Mutex::new(rx));
+        for _ in 0..CLOUD_THREADS {
+            let (queue, inbox) = (queue.clone(), inbox.clone());
+            spawn("cloud", move || {
+                let mut client = Client::new(addr);
+                while let Some((op, req)) = next(&queue) {
+                    inbox.tell(Event::Cloud(op, cloud_call(&mut client, &req)));
+                }
+            })?;
+        }
+        Ok(Self(tx))
+    }
+
+    /// Hands over a request; the event is its answer if it can't be taken.
+    pub fn send(&self, op: OpId, req: CloudRequest) -> Option<Event> {
+        self.0.try_send((op, req)).err().map(|_| Event::Cloud(op, CloudResult::Refused))
+    }
+}
+
+fn cloud_call(client: &mut Client, req: &CloudRequest) -> CloudResult {
+    let answer = match req {
+        CloudRequest::Types => client.call("GET", "/flavors", &[], CLOUD_TIME),
+        CloudRequest::List { after } => {
+            let after = after.as_ref().map_or(String::new(), |a| format!("after={a}&"));
+            client.call("GET", &format!("/hosts?{after}limit=500"), &[], CLOUD_TIME)
+        }
+        CloudRequest::Rent(rent) => client.call("POST", "/hosts", &cbor::encode(rent), CLOUD_TIME),
+        CloudRequest::Release(names) => {
+            let body = cbor::encode(&MachineNames { machines: names.clone() });
+            client.call("POST", "/hosts/release", &body, CLOUD_TIME)
+        }
+    };
+    let (status, body) = match answer {
+        Ok(a) => a,
+        Err(CallError::NotSent) => return CloudResult::Refused,
+        Err(CallError::Unknown) => return CloudResult::Unknown,
+    };
+    match (req, status) {
+        (CloudRequest::Types, 200) => cbor::decode::<TypeList>(&body)
+            .map_or(CloudResult::Unknown, |l| CloudResult::Types(l.types)),
+        (CloudRequest::List { .. }, 200) => {
+            cbor::decode(&body).map_or(CloudResult::Unknown, CloudResult::List)
+        }
+        (CloudRequest::Rent(_), 200) => cbor::decode::<MachineNames>(&body)
+            .map_or(CloudResult::Unknown, |n| CloudResult::Rented(n.machines)),
+        (CloudRequest::Rent(_), 503) => {
+            // Two kinds of 503: none available, or an outage of the cloud.
+            let none = cbor::decode::<HashMap<String, String>>(&body)
+                .is_ok_and(|m| m.get("error").is_some_and(|e| e == "no capacity"));
+            if none { CloudResult::NoCapacity } else { CloudResult::Refused }
+        }
+        (CloudRequest::Release(_), 200) => CloudResult::Released,
+        (_, 429 | 503) => CloudResult::Refused,
+        // A rental we word wrongly rents nothing, now or later.
+        (CloudRequest::Rent(_), 400..=499) => CloudResult::NoCapacity,
+        _ => CloudResult::Unknown,
+    }
+}
+
+/// The way to the workers: a thread for each that has something to be told,
+/// so that a silent one holds up no other.
+pub struct DirectLink {
+    threads: HashMap<SocketAddr, SyncSender<(OpId, DirectCommands)>>,
+    inbox: Inbox,
+}
+
+impl DirectLink {
+    /// A link without threads yet.
+    pub fn new(inbox: &Inbox) -> Self {
+        Self { threads: HashMap::new(), inbox: inbox.clone() }
+    }
+
+    /// Hands over commands; the event is the answer if they can't be taken.
+    pub fn send(
+        &mut self,
+        op: OpId,
+        addr: &str,
+        token: u64,
+        session: u64,
+        commands: Vec<Command>,
+    ) -> Option<Event> {
+        let failed = Some(Event::Direct(op, DirectResult::NotSent));
+        let Ok(addr) = addr.parse::<SocketAddr>() else { return failed };
+        let mut message = (op, DirectCommands { token, session, commands });
+        if let Some(tx) = self.threads.get(&addr) {
+            match tx.try_send(message) {
+                Ok(()) => return None,
+                Err(std::sync::mpsc::TrySendError::Full(_)) => return failed,
+                // It ended for want of work.
+                Err(std::sync::mpsc::TrySendError::Disconnected(m)) => message = m,
+            }
+        }
+        self.threads.retain(|a, _| *a != addr);
+        let (tx, rx) = sync_channel(2);
+        if tx.try_send(message).is_err() {
+            return failed;
+        }
+        let inbox = self.inbox.clone();
+        if spawn("direct", move || direct_thread(addr, &rx, &inbox)).is_err() {
+            return failed;
+        }
+        self.threads.insert(addr, tx);
+        None
+    }
+}
+
+fn direct_thread(addr: SocketAddr, rx: &Receiver<(OpId, DirectCommands)>, inbox: &Inbox) {
+    let mut client = Client::new(addr);
+    while let Ok((op, commands)) = rx.recv_timeout(DIRECT_IDLE) {
+        let result = match client.call("POST", "/do", &cbor::encode(&commands), DIRECT_TIME) {
+            Ok((status @ (200 | 409), body)) => match cbor::decode::<Report>(&body) {
+                Ok(report) => DirectResult::Report(status == 200, Box::new(report)),
+                Err(_) => DirectResult::Unknown,
+            },
+            Ok((400, _)) => DirectResult::NotSent,
+            Ok(_) | Err(CallError::Unknown) => DirectResult::Unknown,
+            Err(CallError::NotSent) => DirectResult::NotSent,
+        };
+        inbox.tell(Event::Direct(op, result));
+    }
+}
--- /dev/null
+++ b/src/owner.rs
@@ -0,0 +1,202 @@
+//! The one owner of all state: takes events from a bounded queue in batches,
+//! feeds the core, and hands its actions to the links.
+
+use crate::limits::*;
+use crate::links::Links;
+use marblebarrow_core::consts::{RETRY_FULL_S, RETRY_STORE_S};
+use marblebarrow_core::event::*;
+use marblebarrow_core::facts::Facts;
+use marblebarrow_core::node::Node;
+use marblebarrow_proto::wire::Report;
+use std::collections::HashMap;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A question from outside.
+#[derive(Debug)]
+pub enum Ask {
+    /// A user's.
+    User(UserRequest),
+    /// A worker's report.
+    Report(Box<Report>),
+}
+
+/// What waits for the owner.
+#[derive(Debug)]
+pub enum Message {
+    /// A question, and where its answer goes.
+    Ask(Ask, SyncSender<Answer>),
+    /// A pledge request of another controller.
+    Pledge {
+        /// Who asks.
+        from: marblebarrow_proto::ids::NodeId,
+        /// Its term.
+        term: u64,
+        /// Where the answer goes.
+        reply: tokio::sync::oneshot::Sender<bool>,
+    },
+    /// Anything else.
+    Event(Event),
+}
+
+/// The way to the owner.
+#[derive(Clone, Debug)]
+pub struct Inbox(SyncSender<Message>);
+
+impl Inbox {
+    /// A queue and its two ends.
+    pub fn channel() -> (Self, Receiver<Message>) {
+        let (tx, rx) = sync_channel(QUEUE);
+        (Self(tx), rx)
+    }
+
+    /// Asks and waits. Too full or too slow: says so at once.
+    pub fn ask(&self, ask: Ask, wait: Duration) -> Answer {
+        let (tx, rx) = sync_channel(1);
+        match self.0.try_send(Message::Ask(ask, tx)) {
+            Ok(()) => rx.recv_timeout(wait).unwrap_or(Answer::Unavailable(RETRY_STORE_S)),
+            Err(TrySendError::Full(_)) => Answer::Full(RETRY_FULL_S),
+            Err(TrySendError::Disconnected(_)) => Answer::Unavailable(RETRY_STORE_S),
+        }
+    }
+
+    /// Tells; waits for room in the queue.
+    pub fn tell(&self, event: Event) {
+        let _ = self.0.send(Message::Event(event));
+    }
+
+    /// Tells without waiting; false if there is no room.
+    pub fn offer(&self, message: Message) -> bool {
+        self.0.try_send(message).is_ok()
+    }
+}
+
+enum Waiting {
+    Asker(SyncSender<Answer>),
+    Pledge(tokio::sync::oneshot::Sender<bool>),
+}
+
+/// The owner.
+pub struct Owner {
+    node: Node,
+    rx: Receiver<Message>,
+    links: Links,
+    start: Instant,
+    waiting: HashMap<ReplyTo, Waiting>,
+    next_reply: u64,
+}
+
+impl Owner {
+    /// An owner of a fresh state.
+    pub fn new(facts: Facts, rx: Receiver<Message>, links: Links) -> Self {
+        Self {
+            node: Node::new(facts, rand::random::<u64>() >> 1, 0.0),
+            rx,
+            links,
+            start: Instant::now(),
+            waiting: HashMap::new(),
+            next_reply: 0,
+        }
+    }
+
+    fn now(&self) -> Secs {
+        self.start.elapsed().as_secs_f64()
+    }
+
+    /// Works for ever.
+    pub fn run(mut self) {
+        let mut wake = 0.0;
+        loop {
+            let wait = Duration::from_secs_f64((wake - self.now()).clamp(0.001, 1.0));
+            let first = match self.rx.recv_timeout(wait) {
+                Ok(m) => Some(m),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
+            };
+            let mut batch: Vec<Message> = first.into_iter().collect();
+            while batch.len() < BATCH
+                && let Ok(m) = self.rx.try_recv()
+            {
+                batch.push(m);
+            }
+            // Polls and reports outrank submissions.
+            let submission =
+                |m: &Message| matches!(m, Message::Ask(Ask::User(UserRequest::Submit(_)), _));
+            let (submissions, others): (Vec<_>, Vec<_>) = batch.into_iter().partition(submission);
+            let wall_ms = SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |d| d.as_millis() as u64);
+            for m in others.into_iter().chain(submissions) {
+                let event = self.event(m);
+                let now = self.now();
+                self.node.handle(now, wall_ms, event);
+            }
+            let now = self.now();
+            self.node.tick(now, wall_ms);
+            for line in self.node.take_log() {
+                tracing::debug!("{line}");
+            }
+            for action in self.node.take_actions() {
+                self.act(now, action);
+            }
+            wake = self.node.wake(now);
+        }
+    }
+
+    fn event(&mut self, message: Message) -> Event {
+        let mut wait = |w| {
+            self.next_reply += 1;
+            self.waiting.insert(ReplyTo(self.next_reply), w);
+            ReplyTo(self.next_reply)
+        };
+        match message {
+            Message::Event(e) => e,
+            Message::Ask(ask, tx) => {
+                let to = wait(Waiting::Asker(tx));
+                match ask {
+                    Ask::User(req) => Event::User(to, req),
+                    Ask::Report(report) => Event::Report(to, report),
+                }
+            }
+            Message::Pledge { from, term, reply } => {
+                let reply = wait(Waiting::Pledge(reply));
+                Event::Peer(PeerNews::PledgeAsked { reply, from, term })
+            }
+        }
+    }
+
+    fn act(&mut self, now: Secs, action: Action) {
+        match action {
+            Action::Reply(to, answer) => {
+                // The asker may have given up: then there is nobody to tell.
+                if let Some(Waiting::Asker(tx)) = self.waiting.remove(&to) {
+                    let _ = tx.try_send(answer);
+                }
+            }
+            Action::PledgeReply(to, granted) => {
+                if let Some(Waiting::Pledge(tx)) = self.waiting.remove(&to) {
+                    let _ = tx.send(granted);
+                }
+            }
+            Action::Store(op, req) => {
+                if let Some(event) = self.links.store.send(op, req) {
+                    let wall_ms = 0;
+                    self.node.handle(now, wall_ms, event);
+                }
+            }
+            Action::Cloud(op, req) => {
+                if let Some(event) = self.links.cloud.send(op, req) {
+                    self.node.handle(now, 0, event);
+                }
+            }
+            Action::Direct { op, addr, token, session, commands } => {
+                if let Some(event) = self.links.direct.send(op, &addr, token, session, commands) {
+                    self.node.handle(now, 0, event);
+                }
+            }
+            Action::Beat(ok) => self.links.peers.beat(ok),
+            Action::AskPledges(term) => self.links.peers.ask_pledges(term, now),
+            Action::ShowProgress(jobs) => self.links.peers.show_progress(&jobs),
+        }
+    }
+}
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,180 @@
+//! The other controllers: gRPC, its runtime on one thread at the edge.
+
+use crate::limits::*;
+use crate::owner::{Inbox, Message};
+use crate::settings::Other;
+use marblebarrow_core::event::{Event, PeerNews, Secs};
+use marblebarrow_proto::ids::{JobId, NodeId};
+use marblebarrow_proto::peer::peer_client::PeerClient;
+use marblebarrow_proto::peer::peer_server::{Peer, PeerServer};
+use marblebarrow_proto::peer::*;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tokio::sync::mpsc;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Request, Response, Status};
+
+#[derive(Debug, Clone)]
+enum Word {
+    Beat(bool),
+    Pledge(u64, Secs),
+    Progress(Vec<JobProgress>),
+}
+
+/// The way to the other controllers.
+pub struct Peers {
+    tx: mpsc::Sender<Word>,
+    store_ok: Arc<AtomicBool>,
+}
+
+impl Peers {
+    /// Starts the thread that speaks with them.
+    pub fn start(
+        node: NodeId,
+        listen: SocketAddr,
+        others: Vec<Other>,
+        inbox: Inbox,
+    ) -> std::io::Result<Self> {
+        let (tx, rx) = mpsc::channel(PEER_QUEUE);
+        let store_ok = Arc::new(AtomicBool::new(false));
+        let service = Service { inbox: inbox.clone(), store_ok: store_ok.clone() };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let listener = std::net::TcpListener::bind(listen)?;
+        listener.set_nonblocking(true)?;
+        crate::links::spawn("peers", move || {
+            runtime.block_on(async move {
+                let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+                let incoming = tonic::transport::server::TcpIncoming::from(listener);
+                tokio::spawn(
+                    tonic::transport::Server::builder()
+                        .timeout(PEER_TIME)
+                        .max_frame_size(Some(16 * 1024))
+                        .add_service(PeerServer::new(service))
+                        .serve_with_incoming(incoming),
+                );
+                speak(node, others, rx, inbox).await;
+            });
+        })?;
+        Ok(Self { tx, store_ok })
+    }
+
+    // A word that finds the queue full is dropped: all are said again.
+    fn say(&self, word: Word) {
+        let _ = self.tx.try_send(word);
+    }
+
+    /// Tells whether the store serves us.
+    pub fn beat(&self, ok: bool) {
+        self.store_ok.store(ok, Ordering::Relaxed);
+        self.say(Word::Beat(ok));
+    }
+
+    /// Asks for pledges; `now` is when.
+    pub fn ask_pledges(&self, term: u64, now: Secs) {
+        self.say(Word::Pledge(term, now));
+    }
+
+    /// Shows progress.
+    pub fn show_progress(&self, jobs: &[(JobId, u32, u32)]) {
+        let jobs = jobs
+            .iter()
+            .map(|(id, done, running)| JobProgress {
+                job: id.to_string(),
+                done: *done,
+                running: *running,
+            })
+            .collect();
+        self.say(Word::Progress(jobs));
+    }
+}
+
+async fn speak(node: NodeId, others: Vec<Other>, mut rx: mpsc::Receiver<Word>, inbox: Inbox) {
+    let mut lines = Vec::new();
+    for other in others {
+        let Ok(endpoint) = Endpoint::from_shared(format!("http://{}", other.endpoint)) else {
+            continue;
+        };
+        let channel = endpoint.connect_timeout(PEER_TIME).timeout(PEER_TIME).connect_lazy();
+        // A small queue each: a silent peer holds up no other.
+        let (tx, rx) = mpsc::channel(4);
+        tokio::spawn(line(node.clone(), NodeId::new(&other.node), channel, rx, inbox.clone()));
+        lines.push(tx);
+    }
+    while let Some(word) = rx.recv().await {
+        for tx in &lines {
+            let _ = tx.try_send(word.clone());
+        }
+    }
+}
+
+async fn line(
+    me: NodeId,
+    peer: NodeId,
+    channel: Channel,
+    mut rx: mpsc::Receiver<Word>,
+    inbox: Inbox,
+) {
+    let mut client = PeerClient::new(channel);
+    while let Some(word) = rx.recv().await {
+        match word {
+            Word::Beat(store_ok) => {
+                let req = BeatRequest { node: me.to_string(), store_ok };
+                if let Ok(reply) = client.beat(req).await {
+                    let news = PeerNews::Beat(peer.clone(), reply.into_inner().store_ok);
+                    inbox.offer(Message::Event(Event::Peer(news)));
+                }
+            }
+            Word::Pledge(term, sent) => {
+                let req = PledgeRequest { node: me.to_string(), term, hold_ms: 0 };
+                if client.pledge(req).await.is_ok_and(|r| r.into_inner().granted) {
+                    let news = PeerNews::Pledged(peer.clone(), sent);
+                    inbox.offer(Message::Event(Event::Peer(news)));
+                }
+            }
+            Word::Progress(jobs) => {
+                let _ = client.progress(ProgressRequest { term: 0, jobs }).await;
+            }
+        }
+    }
+}
+
+struct Service {
+    inbox: Inbox,
+    store_ok: Arc<AtomicBool>,
+}
+
+#[tonic::async_trait]
+impl Peer for Service {
+    async fn beat(&self, req: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
+        let req = req.into_inner();
+        let news = PeerNews::Beat(NodeId::new(&req.node), req.store_ok);
+        self.inbox.offer(Message::Event(Event::Peer(news)));
+        Ok(Response::new(BeatReply { store_ok: self.store_ok.load(Ordering::Relaxed) }))
+    }
+
+    async fn pledge(&self, req: Request<PledgeRequest>) -> Result<Response<PledgeReply>, Status> {
+        let req = req.into_inner();
+        let (reply, answer) = tokio::sync::oneshot::channel();
+        let message = Message::Pledge { from: NodeId::new(&req.node), term: req.term, reply };
+        if !self.inbox.offer(message) {
+            return Err(Status::resource_exhausted("busy"));
+        }
+        let granted = answer.await.unwrap_or(false);
+        Ok(Response::new(PledgeReply { granted }))
+    }
+
+    async fn progress(
+        &self,
+        req: Request<ProgressRequest>,
+    ) -> Result<Response<ProgressReply>, Status> {
+        let jobs = req
+            .into_inner()
+            .jobs
+            .into_iter()
+            .map(|j| (JobId::new(&j.job), j.done, j.running))
+            .collect();
+        self.inbox.offer(Message::Event(Event::Peer(PeerNews::Progress(jobs))));
+        Ok(Response::new(ProgressReply {}))
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,212 @@
+//! The settings that the platform hands over (TOML). Unknown fields are
+//! ignored; a missing or invalid one stops the start with one line.
+
+use marblebarrow_core::facts::{Facts, Team, WaitAim};
+use marblebarrow_proto::ids::NodeId;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Why settings can't be used: names file, field and reason.
+#[derive(Debug, thiserror::Error)]
+#[error("{file}: {field}: {reason}")]
+pub struct SettingsError {
+    file: String,
+    field: String,
+    reason: String,
+}
+
+/// Another controller.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Other {
+    /// Its name.
+    pub node: String,
+    /// Where its peer service listens.
+    pub endpoint: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct Raw {
+    node: String,
+    serve_on: SocketAddr,
+    peer_bind: SocketAddr,
+    #[serde(default)]
+    others: Vec<Other>,
+    endpoints: Endpoints,
+    facts: RawFacts,
+}
+
+#[derive(Debug, Deserialize)]
+struct Endpoints {
+    cloud: SocketAddr,
+    state: SocketAddr,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawFacts {
+    #[serde(default)]
+    teams: Vec<RawTeam>,
+    #[serde(default)]
+    objectives: Vec<RawAim>,
+    workers: RawWorkers,
+    state: RawState,
+    cloud: RawCloud,
+    resources: RawResources,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawTeam {
+    name: String,
+    #[serde(default)]
+    cpus: f64,
+    #[serde(default)]
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawAim {
+    kind: String,
+    class: Option<String>,
+    within_s: Option<f64>,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawWorkers {
+    report_s: f64,
+    lease_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawState {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawCloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RawResources {
+    mem_mb: f64,
+    fd_limit: usize,
+}
+
+/// Settings that passed all checks.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Where users, workers and health checks come.
+    pub listen: SocketAddr,
+    /// Where the other controllers come.
+    pub peer_listen: SocketAddr,
+    /// The other controllers.
+    pub others: Vec<Other>,
+    /// The cloud.
+    pub cloud: SocketAddr,
+    /// The state service.
+    pub state: SocketAddr,
+    /// Memory limit, MB.
+    pub memory_mb: f64,
+    /// Socket limit.
+    pub max_sockets: usize,
+    /// What the core is told.
+    pub facts: Facts,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let file = path.display().to_string();
+        let error = |field: &str, reason: String| SettingsError {
+            file: file.clone(),
+            field: field.to_owned(),
+            reason,
+        };
+        let text =
+            std::fs::read_to_string(path).map_err(|e| error("(file)", e.to_string()))?;
+        Self::parse(&text).map_err(|(field, reason)| error(&field, reason))
+    }
+
+    /// Checks settings text; the error names field and reason.
+    pub fn parse(text: &str) -> Result<Self, (String, String)> {
+        let one_line = |s: &str| s.split_whitespace().collect::<Vec<_>>().join(" ");
+        let toml = toml::Deserializer::parse(text)
+            .map_err(|e| ("(syntax)".to_owned(), one_line(e.message())))?;
+        let raw: Raw = serde_path_to_error::deserialize(toml)
+            .map_err(|e| (e.path().to_string(), one_line(e.inner().message())))?;
+        let positive = |field: &str, n: f64| {
+            if n.is_finite() && n > 0.0 {
+                Ok(n)
+            } else {
+                Err((field.to_owned(), format!("{n} is not a positive number")))
+            }
+        };
+        if raw.node.is_empty() {
+            return Err(("node".into(), "is empty".into()));
+        }
+        let f = raw.facts;
+        for t in &f.teams {
+            for n in [t.cpus, t.cpus_max, t.gpus, t.gpus_max] {
+                if !n.is_finite() || n < 0.0 {
+                    return Err(("facts.teams".into(), format!("{n} of {} is not an amount", t.name)));
+                }
+            }
+        }
+        if f.state.txn_ops == 0 {
+            return Err(("facts.state.txn_ops".into(), "is zero".into()));
+        }
+        if f.resources.fd_limit < 64 {
+            return Err(("facts.resources.fd_limit".into(), "is below 64".into()));
+        }
+        let waits = f
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "wait")
+            .filter_map(|o| {
+                Some(WaitAim { class: o.class.clone()?, within_s: o.within_s? })
+            })
+            .collect();
+        let facts = Facts {
+            node: NodeId::new(&raw.node),
+            others: raw.others.iter().map(|o| NodeId::new(&o.node)).collect(),
+            teams: f
+                .teams
+                .into_iter()
+                .map(|t| Team {
+                    name: t.name,
+                    cpus: t.cpus,
+                    cpus_max: t.cpus_max,
+                    gpus: t.gpus,
+                    gpus_max: t.gpus_max,
+                })
+                .collect(),
+            waits,
+            report_s: positive("facts.workers.report_s", f.workers.report_s)?,
+            lease_s: positive("facts.workers.lease_s", f.workers.lease_s)?,
+            store_rps: positive("facts.state.rps", f.state.rps)?,
+            store_write_rps: positive("facts.state.write_rps", f.state.write_rps)?,
+            store_value_kb: positive("facts.state.value_kb", f.state.value_kb)?,
+            store_txn_ops: f.state.txn_ops,
+            cloud_rps: positive("facts.cloud.rps", f.cloud.rps)?,
+            list_lag_s: positive("facts.cloud.list_lag_s", f.cloud.list_lag_s)?,
+        };
+        Ok(Self {
+            listen: raw.serve_on,
+            peer_listen: raw.peer_bind,
+            others: raw.others,
+            cloud: raw.endpoints.cloud,
+            state: raw.endpoints.state,
+            memory_mb: positive("facts.resources.mem_mb", f.resources.mem_mb)?,
+            max_sockets: f.resources.fd_limit,
+            facts,
+        })
+    }
+}
