--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -15,11 +15,24 @@
 /// Clock drift allowed for, as a fraction: the protocol's 0.05% between two
 /// clocks, doubled.
 pub const DRIFT: f64 = 0.001;
+/// A leader that no worker reports to for this many report intervals, while
+/// several did before, is cut off from them and gives up its office.
+pub const DEAF_REPORTS: f64 = 1.3;
+/// Added to that, seconds.
+pub const DEAF_MARGIN_S: f64 = 0.6;
+/// Workers that must have been heard for their common silence to say that.
+pub const DEAF_MACHINES: usize = 3;
+/// After giving up its office a controller doesn't stand for this long,
+/// seconds, so that another can.
+pub const RESIGNED_S: f64 = 8.0;
+/// A controller that hears no other stands this much later, seconds: if the
+/// others live, it is the one that is cut off.
+pub const ALONE_S: f64 = 4.0;
 /// How long a pledge not to stand lasts, seconds. A fresh process waits this
 /// long before standing, so it must stay short.
-pub const PLEDGE_S: f64 = 4.0;
+pub const PLEDGE_S: f64 = 3.0;
 /// How often the leader asks for pledges while the store refuses it, seconds.
-pub const PLEDGE_EVERY_S: f64 = 0.7;
+pub const PLEDGE_EVERY_S: f64 = 0.5;
 /// Most that followers wait apart before standing, seconds, so that they
 /// seldom collide.
 pub const STAND_SPREAD_S: f64 = 0.15;
@@ -69,6 +82,8 @@
 pub const PROGRESS_EVERY_S: f64 = 1.0;
 /// How often controllers beat to each other, seconds.
 pub const BEAT_EVERY_S: f64 = 1.0;
+/// The same while a fresh process waits to learn that no leader is in office.
+pub const BEAT_FIRST_S: f64 = 0.3;
 /// A peer's word on the store is believed for this long, seconds.
 pub const BEAT_FRESH_S: f64 = 2.5;
 
@@ -139,6 +154,8 @@
 pub const LIST_EVERY_S: f64 = 3.0;
 /// How often machine types (and spot prices) are read, seconds.
 pub const TYPES_EVERY_S: f64 = 60.0;
+/// How often the fleet's state is logged, seconds.
+pub const FLEET_LOG_S: f64 = 10.0;
 /// How often renting and returning is thought over, seconds.
 pub const FLEET_EVERY_S: f64 = 0.5;
 /// An idle machine is returned after this long, seconds: about a boot and a
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -14,7 +14,7 @@
 use marblebarrow_proto::ids::{NodeId, Term};
 use marblebarrow_proto::records::{LEADER, LeaderRecord, TERM, TermRecord};
 use marblebarrow_proto::wire::{Cond, Txn, Write};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A leadership.
 #[derive(Debug, Clone)]
@@ -76,6 +76,9 @@
     pledges: BTreeMap<NodeId, Secs>,
     next_ask: Secs,
     revoked: Option<u64>,
+    /// The first wait, until all peers said that they don't lead.
+    fresh_wait: Option<BTreeSet<NodeId>>,
+    alone_since: Option<Secs>,
 }
 
 impl Election {
@@ -96,6 +99,8 @@
             pledges: BTreeMap::new(),
             next_ask: 0.0,
             revoked: None,
+            fresh_wait: Some(BTreeSet::new()),
+            alone_since: None,
         }
     }
 
@@ -176,7 +181,7 @@
                 out.store(StoreRequest::Revoke(rec.grant));
             }
             Some(_) => self.not_before = self.not_before.max(now + self.spread),
-            None if now >= self.not_before => {
+            None if now >= self.not_before && !self.too_lonely(now) => {
                 let op = out.store(StoreRequest::Grant(GRANT_MS));
                 self.role = Role::Granting(op, now);
             }
@@ -184,6 +189,52 @@
         }
     }
 
+    /// Hears no other controller, and hasn't waited the longer for it.
+    fn too_lonely(&self, now: Secs) -> bool {
+        self.alone_since.is_some_and(|since| now - since.max(self.not_before) < ALONE_S)
+    }
+
+    /// Whether any other controller was heard lately.
+    pub fn company(&mut self, now: Secs, any: bool) {
+        if any || self.peers.is_empty() {
+            self.alone_since = None;
+        } else {
+            self.alone_since.get_or_insert(now);
+        }
+    }
+
+    /// Whether this process still waits lest its earlier self has pledged.
+    pub fn fresh(&self) -> bool {
+        self.fresh_wait.is_some() && !self.peers.is_empty()
+    }
+
+    /// A peer that was alive after our start says whether it leads. Only a
+    /// leader in office can hold a pledge of our earlier process; if none of
+    /// the peers is one, there is nothing to wait for.
+    pub fn peer_leads(&mut self, now: Secs, peer: NodeId, leading: bool) {
+        let Some(known) = &mut self.fresh_wait else { return };
+        if leading {
+            known.remove(&peer);
+        } else {
+            known.insert(peer);
+        }
+        if known.len() == self.peers.len() {
+            self.fresh_wait = None;
+            self.not_before = now;
+        }
+    }
+
+    /// Gives up the office so that a controller that workers can reach may
+    /// take it.
+    pub fn resign(&mut self, now: Secs, out: &mut Out) -> Turn {
+        if let Some(held) = self.held() {
+            out.store(StoreRequest::Revoke(held.grant));
+        }
+        let turn = self.lose(now);
+        self.not_before = self.not_before.max(now + RESIGNED_S);
+        turn
+    }
+
     fn fall_back(&mut self, now: Secs) {
         self.role = Role::Follower;
         self.not_before = self.not_before.max(now + STAND_RETRY_S + self.spread);
@@ -354,6 +405,7 @@
         let known = replica.leader.as_ref().is_some_and(|(r, _)| r.node == *from && r.term == term);
         let granted = store_refuses && known && matches!(self.role, Role::Follower);
         if granted {
+            self.fresh_wait = None;
             self.not_before = self.not_before.max(now + PLEDGE_S * (1.0 + DRIFT));
         }
         out.actions.push(Action::PledgeReply(reply, granted));
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -160,8 +160,16 @@
 /// A word between controllers.
 #[derive(Clone, Debug)]
 pub enum PeerNews {
-    /// A peer beat, or answered one: whether the store serves it.
-    Beat(NodeId, bool),
+    /// A peer beat, or answered one.
+    Beat {
+        /// The peer.
+        node: NodeId,
+        /// Whether the store serves it.
+        store_ok: bool,
+        /// It answered a question of ours, so it was alive after our start:
+        /// whether it holds the leadership.
+        leading: Option<bool>,
+    },
     /// A leader asks for a pledge.
     PledgeAsked {
         /// Where the answer goes.
@@ -220,8 +228,13 @@
         /// The commands.
         commands: Vec<Command>,
     },
-    /// Tell the peers whether the store serves us.
-    Beat(bool),
+    /// Tell the peers whether the store serves us and whether we lead.
+    Beat {
+        /// The store serves us.
+        store_ok: bool,
+        /// We hold the leadership.
+        leading: bool,
+    },
     /// Ask all peers for pledges.
     AskPledges(u64),
     /// Show the peers progress.
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -65,6 +65,7 @@
     refilled: Secs,
     retry_at: Secs,
     services: BTreeMap<String, ServiceClass>,
+    next_log: Secs,
 }
 
 impl Hire {
@@ -91,6 +92,7 @@
             refilled: now,
             retry_at: now,
             services: BTreeMap::new(),
+            next_log: now,
         }
     }
 
@@ -177,6 +179,32 @@
             self.rent(now, out);
         }
         self.send_release(out);
+        self.log_fleet(now);
+    }
+
+    fn log_fleet(&mut self, now: Secs) {
+        if now < self.hire.next_log {
+            return;
+        }
+        self.hire.next_log = now + FLEET_LOG_S;
+        let mut parts = Vec::new();
+        for spot in [false, true] {
+            let of = || self.machines.values().filter(move |m| m.info.spot == spot);
+            let total: f64 = of()
+                .filter_map(|m| self.hire.types.iter().find(|t| t.name == m.info.kind))
+                .map(|t| t.cpus)
+                .sum();
+            let used: f64 = of().map(|m| m.used[0]).sum();
+            let idle = of().filter(|m| m.tasks.is_empty()).count();
+            let booting = self.hire.booting.values().filter(|b| b.spot == spot).count();
+            let name = if spot { "spot" } else { "ordinary" };
+            parts.push(format!(
+                "{name}={} {name}_cpus={total} {name}_used={used:.0} {name}_idle={idle} {name}_booting={booting}",
+                of().count()
+            ));
+        }
+        let waiting: u32 = self.jobs.values().map(|j| j.waiting()).sum();
+        self.log.push(format!("event=fleet {} waiting={waiting}", parts.join(" ")));
     }
 
     pub(crate) fn cloud_answered(&mut self, now: Secs, op: OpId, result: CloudResult) {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -133,8 +133,16 @@
 
     /// Steps with time; call after each batch of events.
     pub fn tick(&mut self, now: Secs, wall_ms: u64) {
+        let company = self.peers_ok.values().any(|&(at, _)| now - at < BEAT_FRESH_S);
+        self.election.company(now, company);
         let turn = self.election.tick(now, &self.replica, &mut self.out);
         self.turn(now, turn);
+        if self.leader.as_ref().is_some_and(|l| l.deaf(now)) && !self.facts.others.is_empty() {
+            // The store alone still hears us: someone else should lead.
+            self.log.push("event=resign why=deaf".into());
+            let turn = self.election.resign(now, &mut self.out);
+            self.turn(now, turn);
+        }
         if self.election.may_act(now)
             && let Some(l) = &mut self.leader
         {
@@ -145,8 +153,10 @@
         }
         self.with_desk(now, wall_ms, |desk, a, out| desk.tick(a, out));
         if now >= self.next_beat {
-            self.next_beat = now + BEAT_EVERY_S;
-            self.out.actions.push(Action::Beat(!self.store_bad()));
+            let every = if self.election.fresh() { BEAT_FIRST_S } else { BEAT_EVERY_S };
+            self.next_beat = now + every;
+            let (store_ok, leading) = (!self.store_bad(), self.election.held().is_some());
+            self.out.actions.push(Action::Beat { store_ok, leading });
         }
         if self.probe.is_none() && now - self.store_ok_at > STORE_PROBE_S {
             self.probe = Some(self.out.store(StoreRequest::Get(TERM.into())));
@@ -245,8 +255,11 @@
 
     fn peer(&mut self, now: Secs, news: PeerNews) {
         match news {
-            PeerNews::Beat(node, ok) => {
-                self.peers_ok.insert(node, (now, ok));
+            PeerNews::Beat { node, store_ok, leading } => {
+                self.peers_ok.insert(node.clone(), (now, store_ok));
+                if let Some(leading) = leading {
+                    self.election.peer_leads(now, node, leading);
+                }
             }
             PeerNews::PledgeAsked { reply, from, term } => {
                 let refuses = self.store_bad();
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -193,7 +193,7 @@
                     self.node.handle(now, 0, event);
                 }
             }
-            Action::Beat(ok) => self.links.peers.beat(ok),
+            Action::Beat { store_ok, leading } => self.links.peers.beat(store_ok, leading),
             Action::AskPledges(term) => self.links.peers.ask_pledges(term, now),
             Action::ShowProgress(jobs) => self.links.peers.show_progress(&jobs),
         }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -17,7 +17,7 @@
 
 #[derive(Debug, Clone)]
 enum Word {
-    Beat(bool),
+    Beat(bool, bool),
     Pledge(u64, Secs),
     Progress(Vec<JobProgress>),
 }
@@ -26,6 +26,7 @@
 pub struct Peers {
     tx: mpsc::Sender<Word>,
     store_ok: Arc<AtomicBool>,
+    leading: Arc<AtomicBool>,
 }
 
 impl Peers {
@@ -38,7 +39,13 @@
     ) -> std::io::Result<Self> {
         let (tx, rx) = mpsc::channel(PEER_QUEUE);
         let store_ok = Arc::new(AtomicBool::new(false));
-        let service = Service { inbox: inbox.clone(), store_ok: store_ok.clone() };
+        // Until the owner has spoken, nobody may conclude that we don't lead.
+        let leading = Arc::new(AtomicBool::new(true));
+        let service = Service {
+            inbox: inbox.clone(),
+            store_ok: store_ok.clone(),
+            leading: leading.clone(),
+        };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let listener = std::net::TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
@@ -58,7 +65,7 @@
                 speak(node, others, rx, inbox).await;
             });
         })?;
-        Ok(Self { tx, store_ok })
+        Ok(Self { tx, store_ok, leading })
     }
 
     // A word that finds the queue full is dropped: all are said again.
@@ -66,10 +73,11 @@
         let _ = self.tx.try_send(word);
     }
 
-    /// Tells whether the store serves us.
-    pub fn beat(&self, ok: bool) {
-        self.store_ok.store(ok, Ordering::Relaxed);
-        self.say(Word::Beat(ok));
+    /// Tells whether the store serves us and whether we lead.
+    pub fn beat(&self, store_ok: bool, leading: bool) {
+        self.store_ok.store(store_ok, Ordering::Relaxed);
+        self.leading.store(leading, Ordering::Relaxed);
+        self.say(Word::Beat(store_ok, leading));
     }
 
     /// Asks for pledges; `now` is when.
@@ -120,10 +128,15 @@
     let mut client = PeerClient::new(channel);
     while let Some(word) = rx.recv().await {
         match word {
-            Word::Beat(store_ok) => {
-                let req = BeatRequest { node: me.to_string(), store_ok };
+            Word::Beat(store_ok, leading) => {
+                let req = BeatRequest { node: me.to_string(), store_ok, leading };
                 if let Ok(reply) = client.beat(req).await {
-                    let news = PeerNews::Beat(peer.clone(), reply.into_inner().store_ok);
+                    let reply = reply.into_inner();
+                    let news = PeerNews::Beat {
+                        node: peer.clone(),
+                        store_ok: reply.store_ok,
+                        leading: Some(reply.leading),
+                    };
                     inbox.offer(Message::Event(Event::Peer(news)));
                 }
             }
@@ -144,15 +157,23 @@
 struct Service {
     inbox: Inbox,
     store_ok: Arc<AtomicBool>,
+    leading: Arc<AtomicBool>,
 }
 
 #[tonic::async_trait]
 impl Peer for Service {
     async fn beat(&self, req: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
         let req = req.into_inner();
-        let news = PeerNews::Beat(NodeId::new(&req.node), req.store_ok);
+        let news = PeerNews::Beat {
+            node: NodeId::new(&req.node),
+            store_ok: req.store_ok,
+            leading: None,
+        };
         self.inbox.offer(Message::Event(Event::Peer(news)));
-        Ok(Response::new(BeatReply { store_ok: self.store_ok.load(Ordering::Relaxed) }))
+        Ok(Response::new(BeatReply {
+            store_ok: self.store_ok.load(Ordering::Relaxed),
+            leading: self.leading.load(Ordering::Relaxed),
+        }))
     }
 
     async fn pledge(&self, req: Request<PledgeRequest>) -> Result<Response<PledgeReply>, Status> {
