Recover per job by the machines its record names; shorter pledges

Ruled out: slow loading (30 ms). Change: a job's record names the machines its tasks may be on, written before the first launch there; its tasks are free when those are accounted for.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -30,9 +30,9 @@
 pub const ALONE_S: f64 = 4.0;
 /// How long a pledge not to stand lasts, seconds. A fresh process waits this
 /// long before standing, so it must stay short.
-pub const PLEDGE_S: f64 = 3.0;
+pub const PLEDGE_S: f64 = 1.6;
 /// How often the leader asks for pledges while the store refuses it, seconds.
-pub const PLEDGE_EVERY_S: f64 = 0.5;
+pub const PLEDGE_EVERY_S: f64 = 0.35;
 /// Most that followers wait apart before standing, seconds, so that they
 /// seldom collide.
 pub const STAND_SPREAD_S: f64 = 0.15;
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -287,6 +287,9 @@
         let life = self.facts.list_lag_s * TOMB_LAGS;
         self.tombs.retain(|_, at| now - *at < life);
         self.lose_tasks(id, now);
+        for job in self.jobs.values_mut() {
+            job.machines.remove(id);
+        }
         if let Some(m) = self.machines.remove(id) {
             self.writer.machine_gone(id, m.recorded);
         }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -76,6 +76,10 @@
     pub stored_started: IntSet,
     /// As `finished`, but surely in the store.
     pub stored_finished: IntSet,
+    /// Machines that its tasks may be on.
+    pub machines: BTreeSet<MachineId>,
+    /// As `machines`, but surely in the store.
+    pub stored_machines: BTreeSet<MachineId>,
     /// Version of each part's record; 0: none.
     pub parts: Vec<u64>,
     /// Attempts that run or may run.
@@ -131,6 +135,8 @@
             finished: IntSet::new(),
             stored_started: IntSet::new(),
             stored_finished: IntSet::new(),
+            machines: BTreeSet::new(),
+            stored_machines: BTreeSet::new(),
             parts,
             live: BTreeMap::new(),
             limbo: BTreeSet::new(),
@@ -246,6 +252,7 @@
 
     /// Takes a task as placed; records ahead a few that come next.
     pub fn place(&mut self, n: u32, live: Live) {
+        self.machines.insert(live.machine.clone());
         self.again.remove(&n);
         self.live.insert(n, live);
         if self.started.insert(n) && self.spec().kind == Kind::Array {
@@ -308,6 +315,11 @@
         }
     }
 
+    /// Whether the start of task `n` on that machine is recorded.
+    pub fn start_recorded(&self, n: u32, machine: &MachineId) -> bool {
+        self.stored_started.contains(n) && self.stored_machines.contains(machine)
+    }
+
     /// Tasks of a part, as its first number and count.
     pub fn part_range(part: u32) -> (u32, u32) {
         (part * PART_TASKS, PART_TASKS)
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -339,12 +339,8 @@
     /// Whether workers that reported have all fallen silent at once: then it
     /// is us who are cut off, and their leases run out unless another leads.
     pub fn deaf(&self, now: Secs) -> bool {
-        let heard: Vec<Secs> = self
-            .machines
-            .values()
-            .filter(|m| m.lapsed.is_none())
-            .filter_map(|m| m.heard)
-            .collect();
+        let heard: Vec<Secs> =
+            self.machines.values().filter(|m| m.lapsed.is_none()).filter_map(|m| m.heard).collect();
         let silence = self.facts.report_s * DEAF_REPORTS + DEAF_MARGIN_S;
         heard.len() >= DEAF_MACHINES && heard.iter().all(|at| now - at > silence)
     }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -338,7 +338,7 @@
             stop: None,
             pilot,
         };
-        let new = !job.stored_started.contains(n);
+        let new = !job.start_recorded(n, machine);
         job.place(n, live);
         let spec = job.record.spec.clone();
         let used = pass.usage.entry(spec.team).or_default();
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -14,6 +14,7 @@
     MACHINES, MachineRecord, PROGRESS, ProgressRecord, parse_progress_key,
 };
 use marblebarrow_proto::wire::Item;
+use std::collections::BTreeSet;
 
 /// The reads of a new leader.
 #[derive(Debug)]
@@ -147,26 +148,38 @@
 
     /// Ends recovery once every recorded machine is accounted for.
     pub(crate) fn check_recovered(&mut self, now: Secs) {
-        if !self.recovering
-            || self.machines.values().any(|m| m.recorded != Recorded::No && !m.confirmed)
-        {
+        if !self.recovering {
             return;
         }
-        self.recovering = false;
+        // A job's tasks can only be on the machines that its record names, so
+        // a silent machine holds up no others.
+        let doubtful: BTreeSet<&MachineId> = self
+            .machines
+            .iter()
+            .filter(|(_, m)| m.recorded != Recorded::No && !m.confirmed)
+            .map(|(id, _)| id)
+            .collect();
         let mut freed = 0;
-        for job in self.jobs.values_mut() {
+        for (id, job) in &mut self.jobs {
+            if job.limbo.is_empty() || job.machines.iter().any(|m| doubtful.contains(m)) {
+                continue;
+            }
             for n in std::mem::take(&mut job.limbo) {
                 job.again.insert(n, now);
                 freed += 1;
             }
+            if job.cancelled {
+                self.writer.close(id);
+            }
+        }
+        if freed > 0 {
+            self.place_due = true;
+            self.log.push(format!("event=freed term={} tasks={freed}", self.term.0));
         }
-        let cut: Vec<JobId> =
-            self.jobs.iter().filter(|(_, j)| j.cancelled).map(|(id, _)| id.clone()).collect();
-        for id in cut {
-            self.writer.close(&id);
+        if doubtful.is_empty() {
+            self.recovering = false;
+            self.log.push(format!("event=recovered term={}", self.term.0));
         }
-        self.place_due = true;
-        self.log.push(format!("event=recovered term={} freed={freed}", self.term.0));
     }
 }
 
@@ -184,6 +197,10 @@
         // Resampled, but not from nothing.
         job.runs = (1, record.mean_ms as f64 / 1e3);
     }
+    if part == 0 {
+        job.machines = record.machines.iter().cloned().collect();
+        job.stored_machines.clone_from(&job.machines);
+    }
     if part == 0 && record.queue.is_some() {
         job.queue = record.queue;
     }
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -175,6 +175,7 @@
         job.limbo.remove(&n);
         job.again.remove(&n);
         job.started.insert(n);
+        job.machines.insert(id.clone());
         let running = entry.state == TaskState::Running;
         let live = Live {
             machine: id.clone(),
@@ -359,7 +360,7 @@
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            if job.cancelled || !job.stored_started.contains(task.index) {
+            if job.cancelled || !job.start_recorded(task.index, id) {
                 continue;
             }
             let Some(live) = job.live.get_mut(&task.index) else {
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -19,7 +19,7 @@
 /// One record of a transaction.
 #[derive(Debug)]
 enum Entry {
-    Part { job: JobId, part: u32, started: IntSet, finished: IntSet },
+    Part { job: JobId, part: u32, started: IntSet, finished: IntSet, machines: BTreeSet<MachineId> },
     Machine(MachineId),
     MachineGone(MachineId),
     Close { job: JobId, cancelled: bool, tasks: u32 },
@@ -67,6 +67,8 @@
 
     /// A task's started or finished mark changed.
     pub(crate) fn touch_task(&mut self, id: &JobId, n: u32) {
+        // Part 0 also names the machines.
+        self.parts.insert((id.clone(), 0));
         self.parts.insert((id.clone(), n / PART_TASKS));
         // Marks made ahead may reach into the next part.
         self.parts.insert((id.clone(), n.saturating_add(START_AHEAD) / PART_TASKS));
@@ -179,6 +181,7 @@
                 part,
                 started: job.started.clone(),
                 finished: job.finished.clone(),
+                machines: job.machines.clone(),
             });
             self.writer.parts.remove(&(id, part));
         }
@@ -336,6 +339,7 @@
                 part,
                 started: IntSet::new(),
                 finished: IntSet::new(),
+                machines: BTreeSet::new(),
             };
             self.writer.resync.push_back((progress_key(id, part), entry));
         }
@@ -343,11 +347,14 @@
 
     fn entry_written(&mut self, now: Secs, entry: Entry, version: u64) {
         match entry {
-            Entry::Part { job, part, started, finished } => {
+            Entry::Part { job, part, started, finished, machines } => {
                 let Some(j) = self.jobs.get_mut(&job) else {
                     return;
                 };
                 j.parts[part as usize] = version;
+                if part == 0 {
+                    j.stored_machines = machines;
+                }
                 merge(&mut j.stored_started, &started, part);
                 merge(&mut j.stored_finished, &finished, part);
                 for live in j.live.values_mut().filter(|l| l.phase == Phase::Placed) {
@@ -483,6 +490,7 @@
         finished: PackedSet::pack(&job.finished, start, len),
         mean_ms: if first { job.mean_run().map_or(0, |m| (m * 1e3) as u64) } else { 0 },
         queue: if first { job.queue } else { None },
+        machines: if first { job.machines.iter().cloned().collect() } else { Vec::new() },
     }
 }
 
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -110,6 +110,9 @@
     /// The queue the job was sorted into. In part 0 only.
     #[serde(default)]
     pub queue: Option<u8>,
+    /// Machines that tasks of the job may be on. In part 0 only.
+    #[serde(default)]
+    pub machines: Vec<MachineId>,
 }
 
 /// A machine that has been given tasks.
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -41,11 +41,8 @@
         let store_ok = Arc::new(AtomicBool::new(false));
         // Until the owner has spoken, nobody may conclude that we don't lead.
         let leading = Arc::new(AtomicBool::new(true));
-        let service = Service {
-            inbox: inbox.clone(),
-            store_ok: store_ok.clone(),
-            leading: leading.clone(),
-        };
+        let service =
+            Service { inbox: inbox.clone(), store_ok: store_ok.clone(), leading: leading.clone() };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let listener = std::net::TcpListener::bind(listen)?;
         listener.set_nonblocking(true)?;
@@ -164,11 +161,8 @@
 impl Peer for Service {
     async fn beat(&self, req: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
         let req = req.into_inner();
-        let news = PeerNews::Beat {
-            node: NodeId::new(&req.node),
-            store_ok: req.store_ok,
-            leading: None,
-        };
+        let news =
+            PeerNews::Beat { node: NodeId::new(&req.node), store_ok: req.store_ok, leading: None };
         self.inbox.offer(Message::Event(Event::Peer(news)));
         Ok(Response::new(BeatReply {
             store_ok: self.store_ok.load(Ordering::Relaxed),
