--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -140,6 +140,9 @@
 /// coming free need not wait for the store. A new leader must only prove of
 /// these too that they don't run.
 pub const START_AHEAD: u32 = 16;
+/// A job that waited longer than this for machines with its image takes any,
+/// seconds: about the fetch that it would spare.
+pub const IMAGE_PATIENCE_S: f64 = 12.0;
 /// A job with less slack than this many seconds goes before its queue.
 pub const URGENT_SLACK_S: f64 = 15.0;
 /// Least time between two placement passes, seconds.
@@ -156,6 +159,9 @@
 pub const TYPES_EVERY_S: f64 = 60.0;
 /// How often the fleet's state is logged, seconds.
 pub const FLEET_LOG_S: f64 = 10.0;
+/// A new leader rents nothing for so long, seconds, unless no machine is up:
+/// those that are report first.
+pub const RENT_AFTER_S: f64 = 4.0;
 /// How often renting and returning is thought over, seconds.
 pub const FLEET_EVERY_S: f64 = 0.5;
 /// An idle machine is returned after this long, seconds: about a boot and a
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -74,8 +74,8 @@
     pub slow: u32,
     /// Images and sizes, most recent last.
     pub images: Vec<(String, f64)>,
-    /// Images being fetched.
-    pub fetching: BTreeSet<String>,
+    /// Images being fetched, and when they should be there.
+    pub fetching: BTreeMap<String, Secs>,
 }
 
 impl Machine {
@@ -110,7 +110,7 @@
             errors: 0,
             slow: 0,
             images,
-            fetching: BTreeSet::new(),
+            fetching: BTreeMap::new(),
         }
     }
 
@@ -133,6 +133,27 @@
         self.images.iter().any(|(i, _)| i == image)
     }
 
+    /// Seconds until an image should be there: fetches at the same time share
+    /// the rate, so a second one ends after the first.
+    pub fn fetch_time(&self, image: &str, gb: f64, rate: f64, now: Secs) -> f64 {
+        if self.has_image(image) {
+            return 0.0;
+        }
+        if let Some(at) = self.fetching.get(image) {
+            return (at - now).max(0.5);
+        }
+        let busy = self.fetching.values().map(|at| at - now).fold(0.0, f64::max);
+        busy + gb / rate.max(1e-3)
+    }
+
+    /// A task that needs this image was sent there.
+    pub fn expect_image(&mut self, image: &str, gb: f64, rate: f64, now: Secs) {
+        if !self.has_image(image) && !self.fetching.contains_key(image) {
+            let at = now + self.fetch_time(image, gb, rate, now);
+            self.fetching.insert(image.to_owned(), at);
+        }
+    }
+
     /// A task of this image was seen running: the image is there, as the most
     /// recently used. Those that no longer fit the cache are gone.
     pub fn touch_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -21,6 +21,8 @@
     spot: bool,
     since: Secs,
     listed_at: Option<Secs>,
+    /// The cloud says it runs, though it hasn't reported.
+    up: bool,
     failed: bool,
 }
 
@@ -66,6 +68,7 @@
     retry_at: Secs,
     services: BTreeMap<String, ServiceClass>,
     next_log: Secs,
+    office_at: Secs,
 }
 
 impl Hire {
@@ -93,6 +96,7 @@
             retry_at: now,
             services: BTreeMap::new(),
             next_log: now,
+            office_at: now,
         }
     }
 
@@ -255,6 +259,7 @@
                                 spot: rent.spot,
                                 since: now,
                                 listed_at: None,
+                                up: false,
                                 failed: false,
                             },
                         );
@@ -317,9 +322,11 @@
                 spot: l.spot,
                 since: now - l.age_s,
                 listed_at: None,
+                up: false,
                 failed: false,
             });
             entry.listed_at = Some(now);
+            entry.up = l.state == ListedState::Running;
             entry.failed = failed;
         }
     }
@@ -431,7 +438,8 @@
         }
         for b in self.hire.booting.values().filter(|b| !b.failed) {
             if let Some(t) = kinds.get(b.kind.as_str())
-                && now - b.since < t.boot_s * 2.0 + 5.0
+                && (now - b.since < t.boot_s * 2.0 + 5.0
+                    || b.up && now - self.hire.office_at < RENT_AFTER_S * 2.0)
             {
                 rooms.push(Room {
                     free: [t.cpus, t.gpus, t.memory_gb],
@@ -469,6 +477,10 @@
 
     /// Rents for what finds no room.
     fn rent(&mut self, now: Secs, out: &mut Out) {
+        let early = now - self.hire.office_at < RENT_AFTER_S;
+        if early && (!self.machines.is_empty() || !self.hire.booting.is_empty()) {
+            return;
+        }
         if self.hire.renting > 0 || !self.hire.again.is_empty() || self.hire.types.is_empty() {
             return;
         }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -192,12 +192,21 @@
                     m.used[1] -= spec.gpus;
                     m.used[2] -= spec.memory_gb;
                 }
+                let image = &spec.image;
+                let waits = |t: &TaskId| {
+                    t.job == *id || self.jobs.get(&t.job).is_some_and(|j| j.spec().image == *image)
+                };
+                if m.fetching.contains_key(image) && !m.tasks.iter().any(waits) {
+                    // No task waits for it any more: the fetch is given up.
+                    m.fetching.remove(image);
+                }
                 if m.tasks.is_empty() {
                     m.used = [0.0; 3];
                     m.idle_since = now;
                 }
             }
         }
+        let Some(job) = self.jobs.get_mut(id) else { return };
         // While recovering, an earlier leader may have made a later attempt
         // than the one that ended, on a machine not heard yet.
         let earlier = job.live.get(&n).is_some_and(|l| (l.attempt.0 >> 32) < self.term.0);
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -23,6 +23,15 @@
     types: BTreeMap<String, MachineType>,
 }
 
+/// Which machines a task may take, as far as its image goes.
+#[derive(Clone, Copy, PartialEq)]
+enum Images {
+    /// Those that hold it.
+    Held,
+    /// All.
+    Any,
+}
+
 /// Which of a job's tasks a queue may serve.
 #[derive(Clone, Copy, PartialEq)]
 enum Serve {
@@ -43,7 +52,11 @@
         self.place_gangs(&mut pass);
         // First those within their team's guarantee, then all.
         for guaranteed in [true, false] {
-            self.place_arrays(&mut pass, guaranteed);
+            // Where machines are short, fetches are what they are short for:
+            // whoever finds its image goes before whoever must fetch it.
+            for images in [Images::Held, Images::Any] {
+                self.place_arrays(&mut pass, guaranteed, images);
+            }
         }
     }
 
@@ -57,7 +70,13 @@
         ids.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         for (_, _, id) in ids {
             while let Some(n) = self.jobs.get_mut(&id).and_then(|j| j.next_task(pass.now)) {
-                if !self.place_task(pass, &id, n, false) && !self.preempt_for(pass, &id, n) {
+                // A machine with the image at once, be it by preemption; then
+                // wherever the fetch is shortest.
+                let placed = self.place_task(pass, &id, n, false, Images::Held)
+                    || self.preempt_for(pass, &id, n, Images::Held)
+                    || self.place_task(pass, &id, n, false, Images::Any)
+                    || self.preempt_for(pass, &id, n, Images::Any);
+                if !placed {
                     break;
                 }
             }
@@ -143,7 +162,7 @@
         Vec::new()
     }
 
-    fn place_arrays(&mut self, pass: &mut Pass, guaranteed: bool) {
+    fn place_arrays(&mut self, pass: &mut Pass, guaranteed: bool, images: Images) {
         let now = pass.now;
         let mut queues: Vec<Vec<(u8, Secs, JobId, Serve)>> = vec![Vec::new(); QUEUES];
         let mut unsized_jobs = Vec::new();
@@ -181,7 +200,7 @@
             let Some((_, _, id, serve)) = queues[q].last().cloned() else {
                 break;
             };
-            match self.place_next(pass, &id, serve, guaranteed) {
+            match self.place_next(pass, &id, serve, guaranteed, images) {
                 Some(cpus) => used[q] += cpus,
                 None => {
                     queues[q].pop();
@@ -190,7 +209,7 @@
         }
         unsized_jobs.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         for (_, _, id) in unsized_jobs {
-            while self.place_next(pass, &id, Serve::All, guaranteed).is_some() {}
+            while self.place_next(pass, &id, Serve::All, guaranteed, images).is_some() {}
         }
     }
 
@@ -200,6 +219,7 @@
         id: &JobId,
         serve: Serve,
         guaranteed: bool,
+        images: Images,
     ) -> Option<f64> {
         let job = self.jobs.get(id)?;
         if guaranteed && !self.within_guarantee(pass, job) {
@@ -212,7 +232,10 @@
         };
         let pilot = serve == Serve::Pilots;
         let cpus = job.spec().cpus.max(1e-3);
-        self.place_task(pass, id, n, pilot).then_some(cpus)
+        // Patience with images has an end, or a rare one would never be fetched.
+        let waited = pass.now - job.arrived > IMAGE_PATIENCE_S;
+        let images = if waited { Images::Any } else { images };
+        self.place_task(pass, id, n, pilot, images).then_some(cpus)
     }
 
     /// Whether one more task of the job stays within its team's guarantee.
@@ -265,7 +288,14 @@
     }
 
     /// Places one task on the best machine with room.
-    fn place_task(&mut self, pass: &mut Pass, id: &JobId, n: u32, pilot: bool) -> bool {
+    fn place_task(
+        &mut self,
+        pass: &mut Pass,
+        id: &JobId,
+        n: u32,
+        pilot: bool,
+        images: Images,
+    ) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
@@ -292,11 +322,11 @@
             // First machines on which the job didn't fail, with the image (or
             // quickest to fetch it), then the kind that is cheapest to use
             // up, then the fullest, so that idle machines can be returned.
-            let fetch = if m.has_image(&spec.image) {
-                0
-            } else {
-                (spec.image_gb / t.fetch_gb_per_s.max(1e-3) * 10.0) as u64
-            };
+            let fetch = m.fetch_time(&spec.image, spec.image_gb, t.fetch_gb_per_s, pass.now);
+            let fetch = (fetch * 10.0) as u64;
+            if fetch > 0 && images == Images::Held {
+                continue;
+            }
             let scarce = spec.spot && !m.info.spot;
             let score = (job.avoids(mid), scarce, fetch, (free[0] * 100.0) as i64);
             if best.as_ref().is_none_or(|(s, _)| score < *s) {
@@ -341,7 +371,7 @@
         let new = !job.start_recorded(n, machine);
         job.place(n, live);
         let spec = job.record.spec.clone();
-        let used = pass.usage.entry(spec.team).or_default();
+        let used = pass.usage.entry(spec.team.clone()).or_default();
         used[0] += spec.cpus;
         used[1] += spec.gpus;
         if new {
@@ -350,6 +380,8 @@
         self.attach(id, n, machine);
         if let Some(m) = self.machines.get_mut(machine) {
             m.push = true;
+            let rate = pass.types.get(&m.info.kind).map_or(1.0, |t| t.fetch_gb_per_s);
+            m.expect_image(&spec.image, spec.image_gb, rate, pass.now);
             self.writer.want_machine(machine, m);
         }
         self.log.push(format!(
@@ -360,7 +392,7 @@
 
     /// Makes room for a service by stopping tasks of lower rank, those that
     /// lose least first.
-    fn preempt_for(&mut self, pass: &mut Pass, id: &JobId, n: u32) -> bool {
+    fn preempt_for(&mut self, pass: &mut Pass, id: &JobId, n: u32, images: Images) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
@@ -368,7 +400,7 @@
         if !self.within_limit(pass, &spec) {
             return false;
         }
-        let mut best: Option<((bool, u64), MachineId, Vec<TaskId>)> = None;
+        let mut best: Option<((u64, u64), MachineId, Vec<TaskId>)> = None;
         for (mid, m) in &self.machines {
             if !m.usable(pass.now, self.facts.report_s) || !self.allowed(job, mid, pass) {
                 continue;
@@ -376,6 +408,10 @@
             let Some(t) = pass.types.get(&m.info.kind) else {
                 continue;
             };
+            let fetch = m.fetch_time(&spec.image, spec.image_gb, t.fetch_gb_per_s, pass.now);
+            if fetch > 0.0 && images == Images::Held {
+                continue;
+            }
             let mut free = m.free(t);
             let mut victims: Vec<(f64, TaskId, [f64; 3])> = m
                 .tasks
@@ -407,7 +443,7 @@
             if !fits(&spec, &free) {
                 continue;
             }
-            let score = (!m.has_image(&spec.image), (lost * 10.0) as u64);
+            let score = ((fetch * 10.0) as u64, (lost * 10.0) as u64);
             if best.as_ref().is_none_or(|(s, ..)| score < *s) {
                 best = Some((score, mid.clone(), chosen));
             }
