--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -166,15 +166,20 @@
 pub const FLEET_EVERY_S: f64 = 0.5;
 /// An idle machine is returned after this long, seconds: about a boot and a
 /// fetch, since a machine returned costs its next renter that.
-pub const IDLE_S: f64 = 30.0;
+pub const IDLE_S: f64 = 15.0;
+/// The same for spot machines, which cost less and may not be had again.
+pub const IDLE_SPOT_S: f64 = 25.0;
 /// A machine costs this long at least (protocol page), seconds.
 pub const LEAST_BILL_S: f64 = 60.0;
 /// A boot of more than this many times the usual is given up.
 pub const BOOT_GIVE_UP: f64 = 4.0;
 /// A zone that had no capacity isn't asked again for this long, seconds.
 pub const NO_CAPACITY_S: f64 = 15.0;
-/// Machines in one rental request: small, to spread over zones.
-pub const RENT_MAX: u32 = 8;
+/// Machines in one rental request (protocol page).
+pub const RENT_MAX: u32 = 50;
+/// Machines that one round of renting plans at most: capacity shows only when
+/// it is asked for, and a wrong guess costs a minute each.
+pub const PLAN_MAX: usize = 24;
 /// Machines in one release (protocol page: 100).
 pub const RELEASE_MAX: usize = 50;
 /// How long a released machine's name is remembered, in list lags.
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -5,7 +5,7 @@
 use crate::consts::*;
 use crate::desk::type_allows;
 use crate::event::{CloudRequest, CloudResult, OpId, Out, Secs};
-use crate::jobs::{Outcome, Phase};
+use crate::jobs::{Job, Outcome, Phase};
 use crate::leader::Leader;
 use crate::replica::Replica;
 use marblebarrow_proto::ids::MachineId;
@@ -39,7 +39,6 @@
 struct ServiceClass {
     shape: JobSpec,
     arrivals: Vec<Secs>,
-    seen_from: Secs,
 }
 
 /// The fleet's bookkeeping.
@@ -115,11 +114,10 @@
         if spec.kind != Kind::Service {
             return;
         }
-        let class = self.services.entry(spec.class.clone()).or_insert_with(|| ServiceClass {
-            shape: spec.clone(),
-            arrivals: Vec::new(),
-            seen_from: now,
-        });
+        let class = self
+            .services
+            .entry(spec.class.clone())
+            .or_insert_with(|| ServiceClass { shape: spec.clone(), arrivals: Vec::new() });
         class.shape = spec.clone();
         class.arrivals.push(now);
     }
@@ -383,7 +381,7 @@
                 && m.direct.is_none()
                 && !m.releasing
                 && m.confirmed
-                && now - m.idle_since > IDLE_S
+                && now - m.idle_since > if m.info.spot { IDLE_SPOT_S } else { IDLE_S }
                 && now - m.first_heard > LEAST_BILL_S / 2.0;
             if unneeded {
                 idle.push((m.info.spot, id.clone()));
@@ -460,8 +458,8 @@
         let mut wanted = Vec::new();
         for class in self.hire.services.values_mut() {
             class.arrivals.retain(|at| now - at < RATE_WINDOW_S);
-            let window = (now - class.seen_from).clamp(10.0, RATE_WINDOW_S);
-            let rate = class.arrivals.len() as f64 / window;
+            // What waits at the start is a backlog, not a rate.
+            let rate = class.arrivals.len() as f64 / RATE_WINDOW_S;
             let lead = boot + class.shape.image_gb / fetch.max(1e-3);
             let count = (rate * lead * WARM_FACTOR).max(WARM_MIN).ceil();
             wanted.push((class.shape.clone(), count as u32));
@@ -486,13 +484,10 @@
         }
         let mut rooms = self.rooms(now, None);
         let mut usage = self.team_usage();
-        let mut lacking: Vec<(JobSpec, u32)> = Vec::new();
         let facts = self.facts.clone();
         // Starts beyond a team's limit don't come, so nothing is rented for them.
         let mut book = |spec: &JobSpec| {
-            let Some(team) = facts.teams.iter().find(|t| t.name == spec.team) else {
-                return false;
-            };
+            let Some(team) = facts.teams.iter().find(|t| t.name == spec.team) else { return false };
             let used = usage.entry(spec.team.clone()).or_default();
             if team.cpus_max > 0.0 && used[0] + spec.cpus > team.cpus_max + 1e-9 {
                 return false;
@@ -500,6 +495,7 @@
             used[0] += spec.cpus;
             true
         };
+        let mut lacking: Vec<(JobSpec, u32)> = Vec::new();
         for job in self.waiting_services() {
             let spec = job.spec();
             let n =
@@ -507,7 +503,7 @@
             lacking.push((spec.clone(), n as u32));
         }
         // Room held by arrays on ordinary machines can be had by preemption,
-        // so the warm reserve need not stand idle: see `rooms_for_warm`.
+        // so the warm reserve need not stand idle.
         let mut warm_rooms = rooms.clone();
         self.add_preemptable(now, &mut warm_rooms);
         for (spec, count) in self.warm_wanted(now) {
@@ -515,49 +511,45 @@
             lacking.push((spec, n as u32));
         }
         for job in self.jobs.values().filter(|j| j.spec().kind != Kind::Service && !j.mistaken()) {
-            let run = job.likely_run().max(1.0);
-            let waves_max = if job.spec().kind == Kind::Gang { 1.0 } else { WAVES_MAX };
-            let waves = job
-                .due()
-                .map_or(waves_max, |due| ((due - now) / run).floor().clamp(1.0, waves_max));
-            // Tasks that run now make room for the waves to come.
-            let ahead = f64::from(job.waiting()) + job.live.len() as f64;
-            let wanted = (ahead / waves).ceil() - job.live.len() as f64;
-            let wanted = wanted.clamp(0.0, f64::from(job.waiting())) as u32;
+            let wanted = wanted_now(job, now);
             let spec = job.spec();
             let n = (0..wanted).filter(|_| book(spec) && !take_room(&mut rooms, spec)).count();
             lacking.push((spec.clone(), n as u32));
         }
-        for (spec, mut count) in lacking {
-            while count > 0 && self.hire.renting < 3 {
-                let Some(rent) = self.choose(now, &spec, count) else {
+        // What is left of a machine thought of for one job serves the next.
+        let mut thought: Vec<Room> = Vec::new();
+        let mut plan: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
+        for (spec, count) in lacking {
+            for left in (1..=count).rev() {
+                if take_room(&mut thought, &spec) {
+                    continue;
+                }
+                if thought.len() >= PLAN_MAX {
                     break;
-                };
-                let holds = self
-                    .hire
-                    .types
-                    .iter()
-                    .find(|t| t.name == rent.kind)
-                    .map_or(1, |t| per_machine(&spec, t));
-                count = count.saturating_sub(rent.count * holds);
-                // What is over of the machine serves the next in need.
-                self.send_rent(rent, out);
-            }
-            if self.hire.renting > 0 {
-                break;
+                }
+                let Some((room, key)) = self.choose(now, &spec, left) else { break };
+                thought.push(room);
+                take_room(&mut thought, &spec);
+                *plan.entry(key).or_default() += 1;
             }
         }
+        for ((kind, zone, spot), count) in plan {
+            self.send_rent(kind, zone, spot, count, out);
+        }
     }
 
-    fn send_rent(&mut self, rent: Rent, out: &mut Out) {
+    fn send_rent(&mut self, kind: String, zone: String, spot: bool, count: u32, out: &mut Out) {
         if !self.hire.afford() {
             return;
         }
         self.hire.renting += 1;
+        self.hire.next_request += 1;
+        // Term and counter: no controller ever uses this name again.
+        let request = format!("r-{}-{}", self.term.0, self.hire.next_request);
         self.log.push(format!(
-            "event=rent request={} type={} zone={} spot={} count={}",
-            rent.request, rent.kind, rent.zone, rent.spot, rent.count
+            "event=rent request={request} type={kind} zone={zone} spot={spot} count={count}"
         ));
+        let rent = Rent { request, kind, zone, spot, count: count.min(RENT_MAX) };
         let op = out.cloud(CloudRequest::Rent(rent.clone()));
         self.hire.pending.insert(op, Pending::Rent(rent));
     }
@@ -585,8 +577,14 @@
         }
     }
 
-    /// The cheapest offer for tasks like this: type, zone, kind, how many.
-    fn choose(&mut self, now: Secs, spec: &JobSpec, tasks: u32) -> Option<Rent> {
+    /// The cheapest machine for tasks like this, as a room and as type, zone
+    /// and kind.
+    fn choose(
+        &mut self,
+        now: Secs,
+        spec: &JobSpec,
+        tasks: u32,
+    ) -> Option<(Room, (String, String, bool))> {
         let h = &mut self.hire;
         h.no_capacity.retain(|_, until| now < *until);
         h.next_zone += 1;
@@ -617,12 +615,9 @@
             }
         }
         let (_, _, t, zone, spot) = best?;
-        let count = tasks.div_ceil(per_machine(spec, t)).clamp(1, RENT_MAX);
-        let kind = t.name.clone();
-        h.next_request += 1;
-        // Term and counter: no controller ever uses this name again.
-        let request = format!("r-{}-{}", self.term.0, h.next_request);
-        Some(Rent { request, kind, zone, spot, count })
+        let free = [t.cpus, t.gpus, t.memory_gb];
+        let room = Room { free, spot, kind: t.name.clone(), zone: zone.clone() };
+        Some((room, (t.name.clone(), zone, spot)))
     }
 
     /// What the spot notices say: tasks that can save are stopped in time, the
@@ -671,6 +666,17 @@
     }
 }
 
+/// Tasks of an array or gang that should run at once: as many as the waves
+/// that its deadline leaves time for demand, those that run now included.
+fn wanted_now(job: &Job, now: Secs) -> u32 {
+    let run = job.likely_run().max(1.0);
+    let most = if job.spec().kind == Kind::Gang { 1.0 } else { WAVES_MAX };
+    let waves = job.due().map_or(most, |due| ((due - now) / run).floor().clamp(1.0, most));
+    let live = job.live.len() as f64;
+    let wanted = ((f64::from(job.waiting()) + live) / waves).ceil() - live;
+    wanted.clamp(0.0, f64::from(job.waiting())) as u32
+}
+
 fn per_machine(spec: &JobSpec, t: &MachineType) -> u32 {
     let by = |need: f64, have: f64| {
         if need > 0.0 { (have / need + 1e-9).floor() } else { f64::MAX }
