--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -80,6 +80,8 @@
 /// How often the leader shows the followers progress, seconds: status may lag
 /// three seconds, and this is for display only.
 pub const PROGRESS_EVERY_S: f64 = 1.0;
+/// Every so many such rounds all jobs are shown, as a word may have been lost.
+pub const PROGRESS_ALL_EVERY: u32 = 8;
 /// How often controllers beat to each other, seconds.
 pub const BEAT_EVERY_S: f64 = 1.0;
 /// The same while a fresh process waits to learn that no leader is in office.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -49,6 +49,7 @@
     pub(crate) placed_at: Secs,
     pub(crate) finals: Vec<(JobId, EndRecord)>,
     next_show: Secs,
+    shows: u32,
     shown: BTreeMap<JobId, (u32, u32)>,
     /// Lines for the log: what was decided, and why.
     pub log: Vec<String>,
@@ -75,6 +76,7 @@
             placed_at: 0.0,
             finals: Vec::new(),
             next_show: 0.0,
+            shows: 0,
             shown: BTreeMap::new(),
             log: Vec::new(),
         };
@@ -105,7 +107,6 @@
         self.flush(now, replica, out);
         self.hire_tick(now, replica, out);
         self.push_direct(now, out);
-        self.show_progress(now, out);
     }
 
     /// A watched key changed.
@@ -325,11 +326,17 @@
         }
     }
 
-    fn show_progress(&mut self, now: Secs, out: &mut Out) {
+    /// How far jobs are, for this controller's own answers and the peers'.
+    /// (The leader's users once saw no progress: it was sent to peers only.)
+    pub fn progress_news(&mut self, now: Secs) -> Vec<(JobId, u32, u32)> {
         if now < self.next_show {
-            return;
+            return Vec::new();
         }
         self.next_show = now + PROGRESS_EVERY_S;
+        self.shows += 1;
+        if self.shows % PROGRESS_ALL_EVERY == 0 {
+            self.shown.clear();
+        }
         let mut news = Vec::new();
         for (id, job) in &self.jobs {
             let running = job.live.values().filter(|l| l.phase == Phase::Running).count() as u32;
@@ -342,9 +349,7 @@
         let gone: BTreeSet<JobId> =
             self.shown.keys().filter(|id| !self.jobs.contains_key(*id)).cloned().collect();
         self.shown.retain(|id, _| !gone.contains(id));
-        if !news.is_empty() {
-            out.actions.push(crate::event::Action::ShowProgress(news));
-        }
+        news
     }
 
     /// Whether workers that reported have all fallen silent at once: then it
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -150,6 +150,11 @@
             for (id, end) in l.take_finals() {
                 self.desk.remember(&id, end);
             }
+            let news = l.progress_news(now);
+            if !news.is_empty() {
+                self.learn_progress(news.clone());
+                self.out.actions.push(Action::ShowProgress(news));
+            }
         }
         self.with_desk(now, wall_ms, |desk, a, out| desk.tick(a, out));
         if now >= self.next_beat {
@@ -272,16 +277,17 @@
                 );
             }
             PeerNews::Pledged(node, sent) => self.election.pledged(node, sent),
-            PeerNews::Progress(jobs) => {
-                let known: Vec<(JobId, (u32, u32))> = jobs
-                    .into_iter()
-                    .filter(|(id, ..)| self.replica.specs.contains_key(id))
-                    .map(|(id, done, running)| (id, (done, running)))
-                    .collect();
-                self.desk.progress.extend(known);
-                let specs = &self.replica.specs;
-                self.desk.progress.retain(|id, _| specs.contains_key(id));
-            }
+            PeerNews::Progress(jobs) => self.learn_progress(jobs),
         }
     }
+
+    fn learn_progress(&mut self, jobs: Vec<(JobId, u32, u32)>) {
+        let specs = &self.replica.specs;
+        let known = jobs
+            .into_iter()
+            .filter(|(id, ..)| specs.contains_key(id))
+            .map(|(id, done, running)| (id, (done, running)));
+        self.desk.progress.extend(known);
+        self.desk.progress.retain(|id, _| specs.contains_key(id));
+    }
 }
--- /dev/null
+++ b/tests/binary.rs
@@ -0,0 +1,93 @@
+//! Drives the real program over loopback, against stand-ins of state service,
+//! cloud and workers written here: submit, run, done, cancel, a killed leader.
+//! Ports are the system's choice; waits are generous and judge no speed.
+
+mod stand_in;
+
+use marblebarrow_proto::cbor;
+use stand_in::{Cluster, job_body};
+use std::process::Command;
+
+#[test]
+fn runs_cancels_and_survives_a_killed_leader() {
+    let mut cluster = Cluster::start(3);
+    // Accepted by one controller, known to the others, and done.
+    cluster.submit("req-000001", "sweep", 4);
+    cluster.until("req-000001", "done");
+    // A service runs until it is cancelled, and stays cancelled.
+    cluster.submit("req-000002", "daemon", 2);
+    cluster.until("req-000002", "running");
+    assert_eq!(cluster.call("POST", "/api/jobs/req-000002/abort", &[]).0, 200);
+    cluster.until("req-000002", "aborted");
+    cluster.until_gone("req-000002");
+    // The leader dies with work under way: all of it still ends, nothing runs twice.
+    cluster.submit("req-000003", "sweep", 6);
+    cluster.kill_leader();
+    cluster.submit("req-000004", "sweep", 3);
+    cluster.until("req-000003", "done");
+    cluster.until("req-000004", "done");
+    // What was over stays so; a repeat of the submission says the same.
+    cluster.until("req-000001", "done");
+    let (status, body) = cluster.call("POST", "/api/jobs", &job_body("req-000001", "sweep", 4));
+    assert_eq!((status, stand_in::stage(&body).as_deref()), (200, Some("done")));
+    assert_eq!(cluster.broken(), Vec::<String>::new());
+}
+
+#[test]
+fn answers_what_it_cannot_take() {
+    let cluster = Cluster::start(1);
+    cluster.submit("req-000009", "sweep", 1);
+    let bad = |body: &[u8]| cluster.call("POST", "/api/jobs", body).0;
+    assert_eq!(bad(b"\xff\x00"), 400);
+    assert_eq!(bad(&cbor::encode(&"text")), 400);
+    assert_eq!(bad(&job_body("nonsense", "sweep", 1)), 400);
+    assert_eq!(bad(&job_body("req-000010", "sweep", 0)), 400);
+    assert_eq!(bad(&job_body("req-000010", "sweep", 100_001)), 400);
+    // Two services of 8 CPUs on a limit of 8.
+    assert_eq!(bad(&job_body("req-000010", "daemon", 9)), 422);
+    assert_eq!(cluster.call("GET", "/api/jobs/req-000010", &[]).0, 404);
+    assert_eq!(cluster.call("POST", "/api/jobs/req-000010/abort", &[]).0, 404);
+    assert_eq!(cluster.call("GET", "/elsewhere", &[]).0, 404);
+    assert_eq!(cluster.call("DELETE", "/healthz", &[]).0, 405);
+    assert_eq!(bad(&vec![0u8; 70_000]), 413);
+    assert_eq!(cluster.broken(), Vec::<String>::new());
+}
+
+#[test]
+fn bad_settings_stop_the_start_with_one_line() {
+    let dir = std::env::temp_dir().join(format!("marblebarrow-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).expect("dir");
+    let file = dir.join("bad.toml");
+    let good = stand_in::settings_text(
+        0,
+        &["127.0.0.1:1".into()],
+        &["127.0.0.1:2".into()],
+        "127.0.0.1:3",
+        "127.0.0.1:4",
+    );
+    for (broken, field) in [
+        (good.replace("lease_s = 4.0", ""), "lease_s"),
+        (good.replace("lease_s = 4.0", "lease_s = -1.0"), "facts.workers.lease_s"),
+        (good.replace("serve_on = \"", "serve_on = \"x"), "serve_on"),
+        ("= = =".into(), "syntax"),
+    ] {
+        std::fs::write(&file, broken).expect("write");
+        let out = Command::new(env!("CARGO_BIN_EXE_marblebarrow"))
+            .arg("--config")
+            .arg(&file)
+            .output()
+            .expect("run");
+        let text = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert_eq!(out.status.code(), Some(2), "{text}");
+        assert_eq!(text.lines().count(), 1, "{text}");
+        assert!(text.contains("bad.toml") && text.contains(field), "{text}");
+    }
+    std::fs::write(&file, &good).expect("write");
+    let check = Command::new(env!("CARGO_BIN_EXE_marblebarrow"))
+        .args(["check", "--config"])
+        .arg(&file)
+        .status()
+        .expect("run");
+    assert!(check.success());
+    let _ = std::fs::remove_dir_all(dir);
+}
