Rent by looking ahead to who would be late; hopeless jobs go last

Cause: machines were rented for half of every job at once, though running tasks end before a machine boots. Ruled out: longer idle times (cost more, no gain).

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -197,6 +197,8 @@
 pub const WARM_FACTOR: f64 = 1.0;
 /// Service places kept spare at least, while services have been seen.
 pub const WARM_MIN: f64 = 1.0;
+/// A job's last task takes about this many times the mean, as tasks differ.
+pub const RUN_SPREAD: f64 = 2.0;
 /// Waves in which a job's waiting tasks may run if its deadline leaves time.
 pub const WAVES_MAX: f64 = 2.0;
 /// Run time assumed for a task nobody knows anything of, seconds.
--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -17,13 +17,14 @@
     pub gpus_max: f64,
 }
 
-/// An aim on starting: tasks of `class` should start within `within_s`.
+/// An aim on finishing: jobs of `class` should be done within `times` their
+/// deadline.
 #[derive(Clone, Debug, PartialEq)]
-pub struct WaitAim {
+pub struct DeadlineAim {
     /// The class.
     pub class: String,
-    /// Seconds.
-    pub within_s: f64,
+    /// Multiple of the deadline.
+    pub times: f64,
 }
 
 /// The settings as the core needs them.
@@ -35,8 +36,8 @@
     pub others: Vec<NodeId>,
     /// Teams.
     pub teams: Vec<Team>,
-    /// Aims on starting.
-    pub waits: Vec<WaitAim>,
+    /// Aims on finishing.
+    pub deadlines: Vec<DeadlineAim>,
     /// Worker report interval, seconds.
     pub report_s: f64,
     /// Worker lease, seconds.
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -5,13 +5,14 @@
 use crate::consts::*;
 use crate::desk::type_allows;
 use crate::event::{CloudRequest, CloudResult, OpId, Out, Secs};
-use crate::jobs::{Job, Outcome, Phase};
+use crate::jobs::{Outcome, Phase};
 use crate::leader::Leader;
 use crate::replica::Replica;
 use marblebarrow_proto::ids::MachineId;
 use marblebarrow_proto::job::{JobSpec, Kind};
 use marblebarrow_proto::wire::{ListedMachine, ListedState, MachineType, Rent};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 
 /// A machine that was rented or listed, and hasn't reported.
 #[derive(Debug)]
@@ -135,6 +136,8 @@
 /// Room for tasks, in thought: a machine that is up or on its way.
 #[derive(Clone)]
 struct Room {
+    /// When it can be used.
+    at: Secs,
     free: [f64; 3],
     spot: bool,
     kind: String,
@@ -427,6 +430,7 @@
             }
             if let Some(t) = kinds.get(m.info.kind.as_str()) {
                 rooms.push(Room {
+                    at: now,
                     free: m.free(t),
                     spot: m.info.spot,
                     kind: m.info.kind.clone(),
@@ -440,6 +444,7 @@
                     || b.up && now - self.hire.office_at < RENT_AFTER_S * 2.0)
             {
                 rooms.push(Room {
+                    at: b.since + t.boot_s,
                     free: [t.cpus, t.gpus, t.memory_gb],
                     spot: b.spot,
                     kind: b.kind.clone(),
@@ -510,12 +515,14 @@
             let n = (0..count).filter(|_| !take_room(&mut warm_rooms, &spec)).count();
             lacking.push((spec, n as u32));
         }
-        for job in self.jobs.values().filter(|j| j.spec().kind != Kind::Service && !j.mistaken()) {
-            let wanted = wanted_now(job, now);
+        for job in self.jobs.values().filter(|j| j.spec().kind == Kind::Gang && !j.mistaken()) {
             let spec = job.spec();
-            let n = (0..wanted).filter(|_| book(spec) && !take_room(&mut rooms, spec)).count();
+            let n =
+                (0..job.waiting()).filter(|_| book(spec) && !take_room(&mut rooms, spec)).count();
             lacking.push((spec.clone(), n as u32));
         }
+        let late = self.late_tasks(now, &rooms, book);
+        lacking.extend(late);
         // What is left of a machine thought of for one job serves the next.
         let mut thought: Vec<Room> = Vec::new();
         let mut plan: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
@@ -538,6 +545,61 @@
         }
     }
 
+    /// Array tasks that will be late unless more is rented: waiting tasks are
+    /// laid, most pressing job first, onto the CPUs as they come free.
+    fn late_tasks(
+        &self,
+        now: Secs,
+        rooms: &[Room],
+        mut book: impl FnMut(&JobSpec) -> bool,
+    ) -> Vec<(JobSpec, u32)> {
+        let ms = |at: Secs| (at.max(now) * 1e3) as u64;
+        // One entry a CPU: when it is free.
+        let mut cpus: BinaryHeap<Reverse<u64>> = BinaryHeap::new();
+        for room in rooms {
+            cpus.extend((0..room.free[0].max(0.0) as u32).map(|_| Reverse(ms(room.at))));
+        }
+        let mut waiting = Vec::new();
+        for job in self.jobs.values().filter(|j| j.spec().kind == Kind::Array) {
+            let run = job.likely_run();
+            let width = job.spec().cpus.ceil().max(1.0) as u32;
+            for live in job.live.values() {
+                let ends = live.ran_from.unwrap_or(live.since) + run;
+                cpus.extend((0..width).map(|_| Reverse(ms(ends))));
+            }
+            if job.waiting() > 0 && !job.mistaken() {
+                let due = job.due().unwrap_or(job.arrived + run * (1.0 + WAVES_MAX));
+                waiting.push((due, job, run, width));
+            }
+        }
+        waiting.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let boot = self.hire.types.iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        let mut late = Vec::new();
+        for (due, job, run, width) in waiting {
+            let spec = job.spec();
+            let mut count = 0;
+            for _ in 0..job.waiting() {
+                if !book(spec) {
+                    break;
+                }
+                let taken: Vec<u64> =
+                    (0..width).filter_map(|_| cpus.pop().map(|Reverse(at)| at)).collect();
+                let whole = taken.len() == width as usize;
+                let start = taken.iter().max().map_or(f64::INFINITY, |at| *at as f64 / 1e3);
+                let start = if whole { start } else { f64::INFINITY };
+                if start + run * RUN_SPREAD > due && start > now + boot {
+                    // A machine rented now would start it sooner.
+                    count += 1;
+                    cpus.extend(taken.into_iter().map(Reverse));
+                } else {
+                    cpus.extend((0..width).map(|_| Reverse(ms(start + run))));
+                }
+            }
+            late.push((spec.clone(), count));
+        }
+        late
+    }
+
     fn send_rent(&mut self, kind: String, zone: String, spot: bool, count: u32, out: &mut Out) {
         if !self.hire.afford() {
             return;
@@ -616,7 +678,8 @@
         }
         let (_, _, t, zone, spot) = best?;
         let free = [t.cpus, t.gpus, t.memory_gb];
-        let room = Room { free, spot, kind: t.name.clone(), zone: zone.clone() };
+        let room =
+            Room { at: now + t.boot_s, free, spot, kind: t.name.clone(), zone: zone.clone() };
         Some((room, (t.name.clone(), zone, spot)))
     }
 
@@ -666,17 +729,6 @@
     }
 }
 
-/// Tasks of an array or gang that should run at once: as many as the waves
-/// that its deadline leaves time for demand, those that run now included.
-fn wanted_now(job: &Job, now: Secs) -> u32 {
-    let run = job.likely_run().max(1.0);
-    let most = if job.spec().kind == Kind::Gang { 1.0 } else { WAVES_MAX };
-    let waves = job.due().map_or(most, |due| ((due - now) / run).floor().clamp(1.0, most));
-    let live = job.live.len() as f64;
-    let wanted = ((f64::from(job.waiting()) + live) / waves).ceil() - live;
-    wanted.clamp(0.0, f64::from(job.waiting())) as u32
-}
-
 fn per_machine(spec: &JobSpec, t: &MachineType) -> u32 {
     let by = |need: f64, have: f64| {
         if need > 0.0 { (have / need + 1e-9).floor() } else { f64::MAX }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -334,7 +334,7 @@
         }
         self.next_show = now + PROGRESS_EVERY_S;
         self.shows += 1;
-        if self.shows % PROGRESS_ALL_EVERY == 0 {
+        if self.shows.is_multiple_of(PROGRESS_ALL_EVERY) {
             self.shown.clear();
         }
         let mut news = Vec::new();
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -176,13 +176,11 @@
             if job.waiting() == 0 || guaranteed && !self.within_guarantee(pass, job) {
                 continue;
             }
-            let urgent = job.due().is_some_and(|due| due - now - job.likely_run() < URGENT_SLACK_S);
-            // A rank above the usual goes first in its queue; so does a job
-            // about to miss its deadline.
-            let order = if urgent { 0 } else { 1 };
+            // A rank above the usual goes first in its queue.
+            let order = self.press(job, now);
             let rank = 3 - job.spec().priority as u8;
             let serve = if job.queue.is_none() { Serve::Pilots } else { Serve::All };
-            queues[q].push((rank * 2 + order, job.arrived, id.clone(), serve));
+            queues[q].push((rank * 3 + order, job.arrived, id.clone(), serve));
             if serve == Serve::Pilots {
                 unsized_jobs.push((rank, job.arrived, id.clone()));
             }
@@ -238,6 +236,25 @@
         self.place_task(pass, id, n, pilot, images).then_some(cpus)
     }
 
+    /// How a job's deadline presses: 0 if it can be met but not for long, 1 if
+    /// there is time (or none is set), 2 if it is missed whatever is done, so
+    /// that it takes no other along.
+    fn press(&self, job: &Job, now: Secs) -> u8 {
+        let Some(deadline) = job.spec().deadline_s else { return 1 };
+        let run = job.likely_run();
+        let slack = |times: f64| job.arrived + deadline * times - now - run;
+        let aims = self.facts.deadlines.iter().filter(|a| a.class == job.spec().class);
+        let mut slacks: Vec<f64> = aims.map(|a| slack(a.times)).collect();
+        if slacks.is_empty() {
+            slacks.push(slack(1.0));
+        }
+        match slacks.into_iter().filter(|s| *s >= 0.0).min_by(f64::total_cmp) {
+            None => 2,
+            Some(s) if s < URGENT_SLACK_S => 0,
+            Some(_) => 1,
+        }
+    }
+
     /// Whether one more task of the job stays within its team's guarantee.
     fn within_guarantee(&self, pass: &Pass, job: &Job) -> bool {
         let spec = job.spec();
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -205,7 +205,7 @@
                 gpus: 0.0,
                 gpus_max: 0.0,
             }],
-            waits: Vec::new(),
+            deadlines: Vec::new(),
             report_s: REPORT_S,
             lease_s: LEASE_S,
             store_rps: 200.0,
@@ -308,7 +308,7 @@
             let spec = self.spec(self.step / 25);
             self.specs.insert(spec.id.clone(), spec);
         }
-        if self.step % 10 != 0 {
+        if !self.step.is_multiple_of(10) {
             return;
         }
         for (id, spec) in self.specs.clone() {
@@ -316,7 +316,7 @@
             let over = matches!(self.told.get(&id), Some((Stage::Done | Stage::Cancelled, _)));
             // Services, and one array in five, are cancelled some time.
             let number: u32 = id.as_str()[4..].parse().unwrap_or(0);
-            let cancel = (spec.kind == Kind::Service || number % 5 == 0)
+            let cancel = (spec.kind == Kind::Service || number.is_multiple_of(5))
                 && self.step > number * 25 + 250
                 && self.accepted.contains(&id);
             let (what, req) = if !self.accepted.contains(&id) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings that the platform hands over (TOML). Unknown fields are
 //! ignored; a missing or invalid one stops the start with one line.
 
-use marblebarrow_core::facts::{Facts, Team, WaitAim};
+use marblebarrow_core::facts::{DeadlineAim, Facts, Team};
 use marblebarrow_proto::ids::NodeId;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -71,7 +71,7 @@
 struct RawAim {
     kind: String,
     class: Option<String>,
-    within_s: Option<f64>,
+    times: Option<f64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -168,11 +168,15 @@
         if f.resources.fd_limit < 64 {
             return Err(("facts.resources.fd_limit".into(), "is below 64".into()));
         }
-        let waits = f
+        let deadlines = f
             .objectives
             .iter()
-            .filter(|o| o.kind == "wait")
-            .filter_map(|o| Some(WaitAim { class: o.class.clone()?, within_s: o.within_s? }))
+            .filter(|o| o.kind == "deadline")
+            // Times that are no number count as one: an aim can't be met sooner.
+            .filter_map(|o| {
+                let times = o.times.filter(|t| t.is_finite() && *t > 0.0).unwrap_or(1.0);
+                Some(DeadlineAim { class: o.class.clone()?, times })
+            })
             .collect();
         let facts = Facts {
             node: NodeId::new(&raw.node),
@@ -188,7 +192,7 @@
                     gpus_max: t.gpus_max,
                 })
                 .collect(),
-            waits,
+            deadlines,
             report_s: positive("facts.workers.report_s", f.workers.report_s)?,
             lease_s: positive("facts.workers.lease_s", f.workers.lease_s)?,
             store_rps: positive("facts.state.rps", f.state.rps)?,
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -307,7 +307,9 @@
     addr
 }
 
-fn converse(mut stream: TcpStream, handler: &dyn Fn(&str, &str, &[u8]) -> (u16, Vec<u8>)) {
+type Handler = dyn Fn(&str, &str, &[u8]) -> (u16, Vec<u8>);
+
+fn converse(mut stream: TcpStream, handler: &Handler) {
     let mut buf = Vec::new();
     while let Some((method, path, body)) = read_request(&mut stream, &mut buf) {
         let (status, body) = handler(&method, &path, &body);
