--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -177,6 +177,13 @@
 pub const BOOT_GIVE_UP: f64 = 4.0;
 /// A zone that had no capacity isn't asked again for this long, seconds.
 pub const NO_CAPACITY_S: f64 = 15.0;
+/// Replicas are moved together, to return a machine, at most so often, seconds.
+pub const GATHER_EVERY_S: f64 = 4.0;
+/// A replica is not moved before it has run this long, seconds: a start that is
+/// stopped within half a minute counts for nobody.
+pub const GATHER_AGE_S: f64 = 35.0;
+/// Only machines used up to this share are emptied by moving replicas.
+pub const GATHER_SHARE: f64 = 0.5;
 /// Machines in one rental request (protocol page).
 pub const RENT_MAX: u32 = 50;
 /// Machines that one round of renting plans at most: capacity shows only when
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -5,10 +5,11 @@
 use crate::consts::*;
 use crate::desk::type_allows;
 use crate::event::{CloudRequest, CloudResult, OpId, Out, Secs};
+use crate::fleet::Machine;
 use crate::jobs::{Outcome, Phase};
 use crate::leader::Leader;
 use crate::replica::Replica;
-use marblebarrow_proto::ids::MachineId;
+use marblebarrow_proto::ids::{MachineId, TaskId};
 use marblebarrow_proto::job::{JobSpec, Kind};
 use marblebarrow_proto::wire::{ListedMachine, ListedState, MachineType, Rent};
 use std::cmp::Reverse;
@@ -69,6 +70,7 @@
     services: BTreeMap<String, ServiceClass>,
     next_log: Secs,
     office_at: Secs,
+    next_gather: Secs,
 }
 
 impl Hire {
@@ -97,6 +99,7 @@
             services: BTreeMap::new(),
             next_log: now,
             office_at: now,
+            next_gather: now + GATHER_AGE_S,
         }
     }
 
@@ -181,6 +184,7 @@
         if now >= h.next_think && h.listed_once {
             h.next_think = now + FLEET_EVERY_S;
             self.return_machines(now);
+            self.gather(now);
             self.rent(now, out);
         }
         self.send_release(out);
@@ -375,7 +379,7 @@
                 }
                 m.cordoned = true;
             }
-            if stuck && m.cordoned && m.direct.is_none() {
+            if stuck && m.cordoned && m.direct.is_none() && !m.releasing {
                 m.releasing = true;
                 self.hire.release.insert(id.clone());
             }
@@ -408,6 +412,92 @@
         }
     }
 
+    /// Moves the replicas of a machine that is used little onto others that stay
+    /// anyway and hold their images, so that it can be returned.
+    fn gather(&mut self, now: Secs) {
+        if self.recovering || now < self.hire.next_gather {
+            return;
+        }
+        let waiting = self.jobs.values().any(|j| j.waiting() > 0);
+        let Some(id) = (!waiting).then(|| self.least_used(now)).flatten() else { return };
+        if !self.fits_elsewhere(now, &id) || !self.warm_without(now, &id) {
+            return;
+        }
+        self.hire.next_gather = now + GATHER_EVERY_S;
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        m.cordoned = true;
+        m.push = true;
+        self.log.push(format!("event=gather machine={id} replicas={}", m.tasks.len()));
+        for task in m.tasks.clone() {
+            let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
+            if let Some(live) = live {
+                live.stop.get_or_insert(0.0);
+            }
+        }
+    }
+
+    /// The ordinary machine with the least on it, if that is all replicas that
+    /// may be moved.
+    fn least_used(&self, now: Secs) -> Option<MachineId> {
+        let movable = |task: &TaskId| {
+            self.jobs.get(&task.job).is_some_and(|j| {
+                let s = j.spec();
+                let ripe = j.live.get(&task.index).is_some_and(|l| {
+                    l.stop.is_none()
+                        && !l.doubt
+                        && l.ran_from.is_some_and(|from| now - from > GATHER_AGE_S)
+                });
+                s.kind == Kind::Service && !s.spread && !s.one_zone && ripe
+            })
+        };
+        let share = |m: &Machine| {
+            let t = self.hire.types.iter().find(|t| t.name == m.info.kind)?;
+            Some(m.used[0] / t.cpus.max(1e-3))
+        };
+        self.machines
+            .iter()
+            .filter(|(_, m)| {
+                !m.info.spot
+                    && !m.tasks.is_empty()
+                    && m.direct.is_none()
+                    && m.usable(now, self.facts.report_s)
+                    && m.tasks.iter().all(movable)
+            })
+            .filter_map(|(id, m)| Some((share(m).filter(|s| *s <= GATHER_SHARE)?, id)))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, id)| id.clone())
+    }
+
+    /// Whether all that is on a machine fits on others that hold replicas and
+    /// the images.
+    fn fits_elsewhere(&self, now: Secs, id: &MachineId) -> bool {
+        let Some(m) = self.machines.get(id) else { return false };
+        let mut rooms: Vec<(&Machine, [f64; 3])> = self
+            .machines
+            .iter()
+            .filter(|(o, om)| {
+                *o != id && !om.info.spot && om.services > 0 && om.usable(now, self.facts.report_s)
+            })
+            .filter_map(|(_, om)| {
+                let t = self.hire.types.iter().find(|t| t.name == om.info.kind)?;
+                Some((om, om.free(t)))
+            })
+            .collect();
+        m.tasks.iter().all(|task| {
+            let Some(spec) = self.jobs.get(&task.job).map(|j| j.spec()) else { return false };
+            let needs = [spec.cpus, spec.gpus, spec.memory_gb];
+            let room = rooms.iter_mut().find(|(om, free)| {
+                om.has_image(&spec.image)
+                    && spec.types.as_ref().is_none_or(|t| t.contains(&om.info.kind))
+                    && spec.zone.as_ref().is_none_or(|z| *z == om.info.zone)
+                    && (0..3).all(|i| free[i] + 1e-9 >= needs[i])
+            });
+            let Some((_, free)) = room else { return false };
+            (0..3).for_each(|i| free[i] -= needs[i]);
+            true
+        })
+    }
+
     fn send_release(&mut self, out: &mut Out) {
         let h = &mut self.hire;
         if h.releasing || h.release.is_empty() || !h.afford() {
