Give up silent spot machines early; keep imaged and cut machines longer

Cause: tasks of a spot machine taken without notice waited out its lease (12 to 22 s); idle machines were returned oldest first, so with the most images; cut machines were returned though a cut ends.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -96,6 +96,18 @@
 pub const LEASE_MARGIN_S: f64 = 0.5;
 /// A machine unheard for this many report intervals gets no new tasks.
 pub const SILENT_REPORTS: f64 = 2.5;
+/// A machine whose lease ran out is kept this much longer, seconds: a cut ends,
+/// and a machine with its images is worth more than a new one.
+pub const LAPSED_KEPT_S: f64 = 30.0;
+/// A spot machine that is silent for this many report intervals,
+/// while others report, is returned: mostly it was taken, and a
+/// completed release proves its tasks gone long before their lease does.
+pub const GONE_REPORTS: f64 = 2.5;
+/// Added to that, seconds.
+pub const GONE_MARGIN_S: f64 = 1.0;
+/// No machine is given up as silent so soon after a takeover, seconds: workers
+/// need a report's timeout and a try or two to find the new leader.
+pub const GONE_AFTER_S: f64 = 8.0;
 /// After a direct command failed, reports carry the commands for this long,
 /// seconds.
 pub const DIRECT_BACKOFF_S: f64 = 3.0;
@@ -147,6 +159,12 @@
 pub const IMAGE_PATIENCE_S: f64 = 12.0;
 /// A job with less slack than this many seconds goes before its queue.
 pub const URGENT_SLACK_S: f64 = 15.0;
+/// A job within its team's guarantee takes room from teams beyond theirs after
+/// so long, seconds.
+pub const GUARANTEE_PATIENCE_S: f64 = 4.0;
+/// Tasks that ran longer than this are not stopped for it, seconds: their loss
+/// would be the greater harm.
+pub const GUARANTEE_LOSS_S: f64 = 10.0;
 /// Least time between two placement passes, seconds.
 pub const PLACE_EVERY_S: f64 = 0.04;
 /// A placement pass without cause, seconds: backoffs end, slack shrinks.
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -357,6 +357,14 @@
         for id in vanished {
             self.hire.release.insert(id);
         }
+        let gone = self.facts.report_s * GONE_REPORTS + GONE_MARGIN_S;
+        // Their silence speaks of them only if we hear the others.
+        let lately = self
+            .machines
+            .values()
+            .filter(|m| m.heard.is_some_and(|h| now - h < self.facts.report_s * SILENT_REPORTS));
+        let heard_lately =
+            now - self.hire.office_at > GONE_AFTER_S && lately.count() * 2 > self.machines.len();
         let mut idle = Vec::new();
         for (id, m) in &mut self.machines {
             let stuck = m.tasks.iter().all(|t| {
@@ -365,7 +373,14 @@
                     .and_then(|j| j.live.get(&t.index))
                     .is_some_and(|l| l.doubt && l.stop.is_some() && l.phase == Phase::Sent)
             });
-            if m.lapsed.is_some() {
+            let silent = m.heard.is_some_and(|h| now - h > gone);
+            if silent && heard_lately && m.info.spot && m.lapsed.is_none() && !m.releasing {
+                self.log.push(format!("event=silent machine={id} spot={}", m.info.spot));
+                m.releasing = true;
+                self.hire.release.insert(id.clone());
+            }
+            let back_by = self.facts.lease_s + LAPSED_KEPT_S;
+            if m.lapsed.is_some() && now - m.answered > back_by {
                 // Silent past its lease. Should it be back by then, it will
                 // have nothing on it that counts.
                 m.cordoned = true;
@@ -391,7 +406,8 @@
                 && now - m.idle_since > if m.info.spot { IDLE_SPOT_S } else { IDLE_S }
                 && now - m.first_heard > LEAST_BILL_S / 2.0;
             if unneeded {
-                idle.push((m.info.spot, id.clone()));
+                // The fewer images it holds, the less is lost with it.
+                idle.push((m.info.spot, m.images.len(), id.clone()));
             }
         }
         if self.recovering || idle.is_empty() {
@@ -399,7 +415,7 @@
         }
         // One a round, dearest kind first, unless it is wanted warm.
         idle.sort();
-        for (spot, id) in idle {
+        for (spot, _, id) in idle {
             if !spot && !self.warm_without(now, &id) {
                 continue;
             }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -20,9 +20,20 @@
 struct Pass {
     now: Secs,
     usage: BTreeMap<String, [f64; 2]>,
+    /// What teams gave up in this pass. It still runs, so it stays in `usage`.
+    given: BTreeMap<String, [f64; 2]>,
     types: BTreeMap<String, MachineType>,
 }
 
+/// On what ground a task may take another's room.
+#[derive(Clone, Copy, PartialEq)]
+enum Claim {
+    /// It is of a higher rank.
+    Rank,
+    /// It is within its team's guarantee, and the other's team is beyond its own.
+    Guarantee,
+}
+
 /// Which machines a task may take, as far as its image goes.
 #[derive(Clone, Copy, PartialEq)]
 enum Images {
@@ -44,7 +55,7 @@
     pub(crate) fn place(&mut self, now: Secs) {
         let types =
             self.hire.types.iter().map(|t| (t.name.clone(), t.clone())).collect::<BTreeMap<_, _>>();
-        let mut pass = Pass { now, usage: self.team_usage(), types };
+        let mut pass = Pass { now, usage: self.team_usage(), given: BTreeMap::new(), types };
         if pass.types.is_empty() {
             return;
         }
@@ -73,9 +84,9 @@
                 // A machine with the image at once, be it by preemption; then
                 // wherever the fetch is shortest.
                 let placed = self.place_task(pass, &id, n, false, Images::Held)
-                    || self.preempt_for(pass, &id, n, Images::Held)
+                    || self.preempt_for(pass, &id, n, Images::Held, Claim::Rank)
                     || self.place_task(pass, &id, n, false, Images::Any)
-                    || self.preempt_for(pass, &id, n, Images::Any);
+                    || self.preempt_for(pass, &id, n, Images::Any, Claim::Rank);
                 if !placed {
                     break;
                 }
@@ -233,7 +244,15 @@
         // Patience with images has an end, or a rare one would never be fetched.
         let waited = pass.now - job.arrived > IMAGE_PATIENCE_S;
         let images = if waited { Images::Any } else { images };
-        self.place_task(pass, id, n, pilot, images).then_some(cpus)
+        if self.place_task(pass, id, n, pilot, images) {
+            return Some(cpus);
+        }
+        let patient = pass.now - self.jobs.get(id)?.arrived < GUARANTEE_PATIENCE_S;
+        if !guaranteed || images == Images::Held || patient {
+            return None;
+        }
+        let given = self.preempt_for(pass, id, n, Images::Held, Claim::Guarantee);
+        given.then_some(cpus)
     }
 
     /// How a job's deadline presses: 0 if it can be met but not for long, 1 if
@@ -266,6 +285,17 @@
         used[0] + spec.cpus <= team.cpus + 1e-9 && used[1] + spec.gpus <= team.gpus + 1e-9
     }
 
+    /// Whether a team would keep its guarantee without one task of that kind.
+    fn borrows(&self, pass: &Pass, spec: &JobSpec) -> bool {
+        let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else {
+            return false;
+        };
+        let used = pass.usage.get(&spec.team).copied().unwrap_or_default();
+        let given = pass.given.get(&spec.team).copied().unwrap_or_default();
+        let keeps = |i: usize, need: f64, own: f64| used[i] - given[i] - need >= own - 1e-9;
+        keeps(0, spec.cpus, team.cpus) && keeps(1, spec.gpus, team.gpus)
+    }
+
     fn within_limit(&self, pass: &Pass, spec: &JobSpec) -> bool {
         let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else {
             return false;
@@ -416,7 +446,14 @@
 
     /// Makes room for a service by stopping tasks of lower rank, those that
     /// lose least first.
-    fn preempt_for(&mut self, pass: &mut Pass, id: &JobId, n: u32, images: Images) -> bool {
+    fn preempt_for(
+        &mut self,
+        pass: &mut Pass,
+        id: &JobId,
+        n: u32,
+        images: Images,
+        claim: Claim,
+    ) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
@@ -444,7 +481,15 @@
                     let j = self.jobs.get(&task.job)?;
                     let l = j.live.get(&task.index)?;
                     let s = j.spec();
-                    let stoppable = s.priority < spec.priority
+                    let below = match claim {
+                        Claim::Rank => s.priority < spec.priority,
+                        Claim::Guarantee => {
+                            s.team != spec.team
+                                && self.borrows(pass, s)
+                                && l.ran_from.is_none_or(|f| pass.now - f < GUARANTEE_LOSS_S)
+                        }
+                    };
+                    let stoppable = below
                         && s.kind == Kind::Array
                         && l.stop.is_none()
                         && !l.doubt
@@ -478,6 +523,11 @@
         for task in victims {
             self.log.push(format!("event=preempt task={task} for={id} machine={machine}"));
             self.preempt(pass.now, &task);
+            if let Some(s) = self.jobs.get(&task.job).map(|j| j.record.spec.clone()) {
+                let given = pass.given.entry(s.team).or_default();
+                given[0] += s.cpus;
+                given[1] += s.gpus;
+            }
         }
         let attempt = self.new_attempt();
         self.put(pass, id, n, &machine, attempt, false);
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -136,6 +136,12 @@
             match entry.state {
                 TaskState::Running | TaskState::Waiting => {
                     if entry.state == TaskState::Running {
+                        if live.ran_from.is_none() {
+                            self.log.push(format!(
+                                "event=runs task={task} machine={id} after_s={:.1}",
+                                now - live.since
+                            ));
+                        }
                         live.phase = Phase::Running;
                         live.ran_from.get_or_insert(now);
                     } else {
