--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -189,6 +189,9 @@
 pub const IDLE_S: f64 = 15.0;
 /// The same for spot machines, which cost less and may not be had again.
 pub const IDLE_SPOT_S: f64 = 25.0;
+/// Idle machines are kept longer by the time that fetching their images took,
+/// since their next user is spared it, but by no more than this, seconds.
+pub const IDLE_IMAGES_S: f64 = 60.0;
 /// A machine costs this long at least (protocol page), seconds.
 pub const LEAST_BILL_S: f64 = 60.0;
 /// A boot of more than this many times the usual is given up.
@@ -219,7 +222,7 @@
 pub const RATE_WINDOW_S: f64 = 60.0;
 /// Spare service places kept, as a multiple of the arrivals expected while a
 /// machine boots and fetches.
-pub const WARM_FACTOR: f64 = 1.0;
+pub const WARM_FACTOR: f64 = 1.5;
 /// Service places kept spare at least, while services have been seen.
 pub const WARM_MIN: f64 = 1.0;
 /// A job's last task takes about this many times the mean, as tasks differ.
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -341,6 +341,8 @@
         let lag = self.facts.list_lag_s;
         let boots: BTreeMap<&str, f64> =
             self.hire.types.iter().map(|t| (t.name.as_str(), t.boot_s)).collect();
+        let rates: BTreeMap<&str, f64> =
+            self.hire.types.iter().map(|t| (t.name.as_str(), t.fetch_gb_per_s.max(1e-3))).collect();
         let mut give_up = Vec::new();
         let mut vanished = Vec::new();
         for (id, b) in &self.hire.booting {
@@ -398,12 +400,16 @@
                 m.releasing = true;
                 self.hire.release.insert(id.clone());
             }
+            let rate = rates.get(m.info.kind.as_str()).copied().unwrap_or(f64::INFINITY);
+            let fetches = m.images.iter().map(|(_, gb)| gb / rate).sum::<f64>();
+            let patience =
+                if m.info.spot { IDLE_SPOT_S } else { IDLE_S } + fetches.min(IDLE_IMAGES_S);
             let unneeded = m.tasks.is_empty()
                 && m.exited.is_empty()
                 && m.direct.is_none()
                 && !m.releasing
                 && m.confirmed
-                && now - m.idle_since > if m.info.spot { IDLE_SPOT_S } else { IDLE_S }
+                && now - m.idle_since > patience
                 && now - m.first_heard > LEAST_BILL_S / 2.0;
             if unneeded {
                 // The fewer images it holds, the less is lost with it.
