--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -1,5 +1,6 @@
 //! What the settings tell the core.
 
+use crate::consts::{IDLE_S, PILOT_SHARE, THIN_LIMIT, WARM_FACTOR};
 use marblebarrow_proto::ids::NodeId;
 
 /// A team's guarantee and limit. Zero means none.
@@ -27,6 +28,31 @@
     pub times: f64,
 }
 
+/// What operators may set themselves.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// Jobs with fewer tasks skip sampling.
+    pub thin_limit: u32,
+    /// Share of a wide job's tasks that are pilots.
+    pub pilot_share: f64,
+    /// Spare service places, as a multiple of the arrivals expected while a
+    /// machine boots and fetches.
+    pub warm_factor: f64,
+    /// An idle ordinary machine is returned after this, seconds.
+    pub idle_s: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            thin_limit: THIN_LIMIT,
+            pilot_share: PILOT_SHARE,
+            warm_factor: WARM_FACTOR,
+            idle_s: IDLE_S,
+        }
+    }
+}
+
 /// The settings as the core needs them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Facts {
@@ -54,4 +80,6 @@
     pub cloud_rps: f64,
     /// Lag of the machine list, seconds.
     pub list_lag_s: f64,
+    /// What operators set.
+    pub tuning: Tuning,
 }
--- /dev/null
+++ b/crates/core/src/give_back.rs
@@ -0,0 +1,242 @@
+//! Giving back: machines that never came up, fell silent, failed, idle or are
+//! better emptied; and what notices of spot machines ask for.
+
+use crate::consts::*;
+use crate::event::Secs;
+use crate::fleet::Machine;
+use crate::jobs::{Outcome, Phase};
+use crate::leader::Leader;
+use marblebarrow_proto::ids::{MachineId, TaskId};
+use marblebarrow_proto::job::Kind;
+use std::collections::BTreeMap;
+
+impl Leader {
+    /// Picks the machines to return.
+    pub(crate) fn return_machines(&mut self, now: Secs) {
+        let lag = self.facts.list_lag_s;
+        let boots: BTreeMap<&str, f64> =
+            self.hire.types.iter().map(|t| (t.name.as_str(), t.boot_s)).collect();
+        let rates: BTreeMap<&str, f64> =
+            self.hire.types.iter().map(|t| (t.name.as_str(), t.fetch_gb_per_s.max(1e-3))).collect();
+        let mut give_up = Vec::new();
+        let mut vanished = Vec::new();
+        for (id, b) in &self.hire.booting {
+            let boot = boots.get(b.kind.as_str()).copied().unwrap_or(0.0);
+            let age = now - b.since;
+            if b.failed || age > boot * BOOT_GIVE_UP + lag {
+                give_up.push(id.clone());
+            } else if b.listed_at.map_or(age, |at| now - at) > lag * 3.0 + LIST_EVERY_S * 2.0 {
+                // Taken back before it reported, or never more than a promise.
+                vanished.push(id.clone());
+            }
+        }
+        self.hire.release.extend(give_up);
+        for id in vanished {
+            self.hire.release.insert(id);
+        }
+        let gone = self.facts.report_s * GONE_REPORTS + GONE_MARGIN_S;
+        // Their silence speaks of them only if we hear the others.
+        let lately = self
+            .machines
+            .values()
+            .filter(|m| m.heard.is_some_and(|h| now - h < self.facts.report_s * SILENT_REPORTS));
+        let heard_lately =
+            now - self.hire.office_at > GONE_AFTER_S && lately.count() * 2 > self.machines.len();
+        let mut idle = Vec::new();
+        for (id, m) in &mut self.machines {
+            let stuck = m.tasks.iter().all(|t| {
+                self.jobs
+                    .get(&t.job)
+                    .and_then(|j| j.live.get(&t.index))
+                    .is_some_and(|l| l.doubt && l.stop.is_some() && l.phase == Phase::Sent)
+            });
+            let silent = m.heard.is_some_and(|h| now - h > gone);
+            if silent && heard_lately && m.info.spot && m.lapsed.is_none() && !m.releasing {
+                self.log.push(format!("event=silent machine={id} spot={}", m.info.spot));
+                m.releasing = true;
+                self.hire.release.insert(id.clone());
+            }
+            let back_by = self.facts.lease_s + LAPSED_KEPT_S;
+            if m.lapsed.is_some() && now - m.answered > back_by {
+                // Silent past its lease. Should it be back by then, it will
+                // have nothing on it that counts.
+                m.cordoned = true;
+                self.hire.release.insert(id.clone());
+            } else if m.errors >= MACHINE_ERRORS || m.slow >= SLOW_SAMPLES {
+                if !m.cordoned {
+                    self.log.push(format!(
+                        "event=cordon machine={id} errors={} slow={}",
+                        m.errors, m.slow
+                    ));
+                }
+                m.cordoned = true;
+            }
+            if stuck && m.cordoned && m.direct.is_none() && !m.releasing {
+                m.releasing = true;
+                self.hire.release.insert(id.clone());
+            }
+            let rate = rates.get(m.info.kind.as_str()).copied().unwrap_or(f64::INFINITY);
+            let fetches = m.images.iter().map(|(_, gb)| gb / rate).sum::<f64>();
+            let patience = if m.info.spot { IDLE_SPOT_S } else { self.facts.tuning.idle_s }
+                + fetches.min(IDLE_IMAGES_S);
+            let unneeded = m.tasks.is_empty()
+                && m.exited.is_empty()
+                && m.direct.is_none()
+                && !m.releasing
+                && m.confirmed
+                && now - m.idle_since > patience
+                && now - m.first_heard > LEAST_BILL_S / 2.0;
+            if unneeded {
+                // The fewer images it holds, the less is lost with it.
+                idle.push((m.info.spot, m.images.len(), id.clone()));
+            }
+        }
+        if self.recovering || idle.is_empty() {
+            return;
+        }
+        // One a round, dearest kind first, unless it is wanted warm.
+        idle.sort();
+        for (spot, _, id) in idle {
+            if !spot && !self.warm_without(now, &id) {
+                continue;
+            }
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.cordoned = true;
+                m.releasing = true;
+            }
+            self.hire.release.insert(id);
+            break;
+        }
+    }
+
+    /// Moves the replicas of a machine that is used little onto others that stay
+    /// anyway and hold their images, so that it can be returned.
+    pub(crate) fn gather(&mut self, now: Secs) {
+        if self.recovering || now < self.hire.next_gather {
+            return;
+        }
+        let waiting = self.jobs.values().any(|j| j.waiting() > 0);
+        let Some(id) = (!waiting).then(|| self.least_used(now)).flatten() else { return };
+        if !self.fits_elsewhere(now, &id) || !self.warm_without(now, &id) {
+            return;
+        }
+        self.hire.next_gather = now + GATHER_EVERY_S;
+        let Some(m) = self.machines.get_mut(&id) else { return };
+        m.cordoned = true;
+        m.push = true;
+        self.log.push(format!("event=gather machine={id} replicas={}", m.tasks.len()));
+        for task in m.tasks.clone() {
+            let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
+            if let Some(live) = live {
+                live.stop.get_or_insert(0.0);
+            }
+        }
+    }
+
+    /// The ordinary machine with the least on it, if that is all replicas that
+    /// may be moved.
+    fn least_used(&self, now: Secs) -> Option<MachineId> {
+        let movable = |task: &TaskId| {
+            self.jobs.get(&task.job).is_some_and(|j| {
+                let s = j.spec();
+                let ripe = j.live.get(&task.index).is_some_and(|l| {
+                    l.stop.is_none()
+                        && !l.doubt
+                        && l.ran_from.is_some_and(|from| now - from > GATHER_AGE_S)
+                });
+                s.kind == Kind::Service && !s.spread && !s.one_zone && ripe
+            })
+        };
+        let share = |m: &Machine| {
+            let t = self.hire.types.iter().find(|t| t.name == m.info.kind)?;
+            Some(m.used[0] / t.cpus.max(1e-3))
+        };
+        self.machines
+            .iter()
+            .filter(|(_, m)| {
+                !m.info.spot
+                    && !m.tasks.is_empty()
+                    && m.direct.is_none()
+                    && m.usable(now, self.facts.report_s)
+                    && m.tasks.iter().all(movable)
+            })
+            .filter_map(|(id, m)| Some((share(m).filter(|s| *s <= GATHER_SHARE)?, id)))
+            .min_by(|a, b| a.0.total_cmp(&b.0))
+            .map(|(_, id)| id.clone())
+    }
+
+    /// Whether all that is on a machine fits on others that hold replicas and
+    /// the images.
+    fn fits_elsewhere(&self, now: Secs, id: &MachineId) -> bool {
+        let Some(m) = self.machines.get(id) else { return false };
+        let mut rooms: Vec<(&Machine, [f64; 3])> = self
+            .machines
+            .iter()
+            .filter(|(o, om)| {
+                *o != id && !om.info.spot && om.services > 0 && om.usable(now, self.facts.report_s)
+            })
+            .filter_map(|(_, om)| {
+                let t = self.hire.types.iter().find(|t| t.name == om.info.kind)?;
+                Some((om, om.free(t)))
+            })
+            .collect();
+        m.tasks.iter().all(|task| {
+            let Some(spec) = self.jobs.get(&task.job).map(|j| j.spec()) else { return false };
+            let needs = [spec.cpus, spec.gpus, spec.memory_gb];
+            let room = rooms.iter_mut().find(|(om, free)| {
+                om.has_image(&spec.image)
+                    && spec.types.as_ref().is_none_or(|t| t.contains(&om.info.kind))
+                    && spec.zone.as_ref().is_none_or(|z| *z == om.info.zone)
+                    && (0..3).all(|i| free[i] + 1e-9 >= needs[i])
+            });
+            let Some((_, free)) = room else { return false };
+            (0..3).for_each(|i| free[i] -= needs[i]);
+            true
+        })
+    }
+
+    /// What the spot notices say: tasks that can save are stopped in time, the
+    /// others run on; no new ones come.
+    pub(crate) fn drain_noticed(&mut self, now: Secs) {
+        let mut moves = Vec::new();
+        for (id, m) in &self.machines {
+            let Some(until) = m.notice else { continue };
+            for task in &m.tasks {
+                let Some(job) = self.jobs.get(&task.job) else {
+                    continue;
+                };
+                let spec = job.spec();
+                let due = until - now < spec.save_s + self.facts.report_s;
+                if spec.checkpoint_s > 0.0 && due {
+                    moves.push((id.clone(), task.clone(), spec.save_s));
+                }
+            }
+        }
+        for (id, task, save_s) in moves {
+            let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
+            if let Some(live) = live.filter(|l| l.stop.is_none()) {
+                live.stop = Some(save_s * 2.0);
+                if let Some(m) = self.machines.get_mut(&id) {
+                    m.push = true;
+                }
+            }
+        }
+    }
+
+    /// Takes back a start that never left, e.g. as its machine got a notice.
+    pub(crate) fn unplace_noticed(&mut self, now: Secs) {
+        let mut back = Vec::new();
+        for m in self.machines.values().filter(|m| m.notice.is_some() || m.cordoned) {
+            for task in &m.tasks {
+                let live = self.jobs.get(&task.job).and_then(|j| j.live.get(&task.index));
+                if live.is_some_and(|l| matches!(l.phase, Phase::Placed | Phase::Ready) && !l.doubt)
+                {
+                    back.push(task.clone());
+                }
+            }
+        }
+        for task in back {
+            self.over(&task.job, task.index, Outcome::Lost, now);
+        }
+    }
+}
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -2,6 +2,7 @@
 
 use crate::consts::*;
 use crate::event::Secs;
+use crate::facts::Tuning;
 use marblebarrow_proto::ids::{Attempt, MachineId};
 use marblebarrow_proto::intset::IntSet;
 use marblebarrow_proto::job::{JobSpec, Kind};
@@ -113,12 +114,13 @@
         record: Arc<SpecRecord>,
         spec_version: u64,
         arrived: Secs,
+        tuning: &Tuning,
         rng: &mut impl rand::Rng,
     ) -> Self {
         let spec = &record.spec;
         let mut pilots = Vec::new();
-        if spec.kind == Kind::Array && spec.tasks >= THIN_LIMIT {
-            let count = ((f64::from(spec.tasks) * PILOT_SHARE) as u32).max(1);
+        if spec.kind == Kind::Array && spec.tasks >= tuning.thin_limit {
+            let count = ((f64::from(spec.tasks) * tuning.pilot_share) as u32).max(1);
             let mut chosen = BTreeSet::new();
             while (chosen.len() as u32) < count {
                 chosen.insert(rng.random_range(0..spec.tasks));
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -138,7 +138,8 @@
             return;
         }
         let age = wall_ms.saturating_sub(record.at_ms) as f64 / 1e3;
-        let mut job = Job::new(record.clone(), *version, now - age, &mut self.rng);
+        let mut job =
+            Job::new(record.clone(), *version, now - age, &self.facts.tuning, &mut self.rng);
         job.cancelled = replica.cuts.contains(id);
         self.hire.saw_job(now, job.spec());
         if job.cancelled {
--- /dev/null
+++ b/crates/core/src/rent.rs
@@ -0,0 +1,313 @@
+//! Renting: what waits, what will be late, what should stand warm.
+
+use crate::consts::*;
+use crate::desk::type_allows;
+use crate::event::{CloudRequest, Out, Secs};
+use crate::hire::Pending;
+use crate::leader::Leader;
+use marblebarrow_proto::ids::MachineId;
+use marblebarrow_proto::job::{JobSpec, Kind};
+use marblebarrow_proto::wire::{MachineType, Rent};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+/// Room for tasks, in thought: a machine that is up or on its way.
+#[derive(Clone)]
+struct Room {
+    /// When it can be used.
+    at: Secs,
+    free: [f64; 3],
+    spot: bool,
+    kind: String,
+    zone: String,
+}
+impl Leader {
+    /// Rooms of the machines that are up or on their way.
+    fn rooms(&self, now: Secs, without: Option<&MachineId>) -> Vec<Room> {
+        let kinds: BTreeMap<&str, &MachineType> =
+            self.hire.types.iter().map(|t| (t.name.as_str(), t)).collect();
+        let mut rooms = Vec::new();
+        for (id, m) in &self.machines {
+            if Some(id) == without || !m.usable(now, self.facts.report_s) {
+                continue;
+            }
+            if let Some(t) = kinds.get(m.info.kind.as_str()) {
+                rooms.push(Room {
+                    at: now,
+                    free: m.free(t),
+                    spot: m.info.spot,
+                    kind: m.info.kind.clone(),
+                    zone: m.info.zone.clone(),
+                });
+            }
+        }
+        for b in self.hire.booting.values().filter(|b| !b.failed) {
+            if let Some(t) = kinds.get(b.kind.as_str())
+                && (now - b.since < t.boot_s * 2.0 + 5.0
+                    || b.up && now - self.hire.office_at < RENT_AFTER_S * 2.0)
+            {
+                rooms.push(Room {
+                    at: b.since + t.boot_s,
+                    free: [t.cpus, t.gpus, t.memory_gb],
+                    spot: b.spot,
+                    kind: b.kind.clone(),
+                    zone: b.zone.clone(),
+                });
+            }
+        }
+        rooms
+    }
+
+    /// Spare service places wanted: as many as come while a machine boots and
+    /// fetches, per class.
+    fn warm_wanted(&mut self, now: Secs) -> Vec<(JobSpec, u32)> {
+        let boot = self.hire.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let fetch = self.hire.types.iter().map(|t| t.fetch_gb_per_s).fold(f64::INFINITY, f64::min);
+        let mut wanted = Vec::new();
+        for class in self.hire.services.values_mut() {
+            class.arrivals.retain(|at| now - at < RATE_WINDOW_S);
+            // What waits at the start is a backlog, not a rate.
+            let rate = class.arrivals.len() as f64 / RATE_WINDOW_S;
+            let lead = boot + class.shape.image_gb / fetch.max(1e-3);
+            let count = (rate * lead * self.facts.tuning.warm_factor).max(WARM_MIN).ceil();
+            wanted.push((class.shape.clone(), count as u32));
+        }
+        wanted
+    }
+
+    pub(crate) fn warm_without(&mut self, now: Secs, id: &MachineId) -> bool {
+        let mut rooms = self.rooms(now, Some(id));
+        let wanted = self.warm_wanted(now);
+        wanted.iter().all(|(spec, count)| (0..*count).all(|_| take_room(&mut rooms, spec)))
+    }
+
+    /// Rents for what finds no room.
+    pub(crate) fn rent(&mut self, now: Secs, out: &mut Out) {
+        let early = now - self.hire.office_at < RENT_AFTER_S;
+        if early && (!self.machines.is_empty() || !self.hire.booting.is_empty()) {
+            return;
+        }
+        if self.hire.renting > 0 || !self.hire.again.is_empty() || self.hire.types.is_empty() {
+            return;
+        }
+        let mut rooms = self.rooms(now, None);
+        let mut usage = self.team_usage();
+        let facts = self.facts.clone();
+        // Starts beyond a team's limit don't come, so nothing is rented for them.
+        let mut book = |spec: &JobSpec| {
+            let Some(team) = facts.teams.iter().find(|t| t.name == spec.team) else { return false };
+            let used = usage.entry(spec.team.clone()).or_default();
+            if team.cpus_max > 0.0 && used[0] + spec.cpus > team.cpus_max + 1e-9 {
+                return false;
+            }
+            used[0] += spec.cpus;
+            true
+        };
+        let mut lacking: Vec<(JobSpec, u32)> = Vec::new();
+        for job in self.waiting_services() {
+            let spec = job.spec();
+            let n =
+                (0..job.waiting()).filter(|_| book(spec) && !take_room(&mut rooms, spec)).count();
+            lacking.push((spec.clone(), n as u32));
+        }
+        // Room held by arrays on ordinary machines can be had by preemption,
+        // so the warm reserve need not stand idle.
+        let mut warm_rooms = rooms.clone();
+        self.add_preemptable(now, &mut warm_rooms);
+        for (spec, count) in self.warm_wanted(now) {
+            let n = (0..count).filter(|_| !take_room(&mut warm_rooms, &spec)).count();
+            lacking.push((spec, n as u32));
+        }
+        for job in self.jobs.values().filter(|j| j.spec().kind == Kind::Gang && !j.mistaken()) {
+            let spec = job.spec();
+            let n =
+                (0..job.waiting()).filter(|_| book(spec) && !take_room(&mut rooms, spec)).count();
+            lacking.push((spec.clone(), n as u32));
+        }
+        let late = self.late_tasks(now, &rooms, book);
+        lacking.extend(late);
+        // What is left of a machine thought of for one job serves the next.
+        let mut thought: Vec<Room> = Vec::new();
+        let mut plan: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
+        for (spec, count) in lacking {
+            for left in (1..=count).rev() {
+                if take_room(&mut thought, &spec) {
+                    continue;
+                }
+                if thought.len() >= PLAN_MAX {
+                    break;
+                }
+                let Some((room, key)) = self.choose(now, &spec, left) else { break };
+                thought.push(room);
+                take_room(&mut thought, &spec);
+                *plan.entry(key).or_default() += 1;
+            }
+        }
+        for ((kind, zone, spot), count) in plan {
+            self.send_rent(kind, zone, spot, count, out);
+        }
+    }
+
+    /// Array tasks that will be late unless more is rented: waiting tasks are
+    /// laid, most pressing job first, onto the CPUs as they come free.
+    fn late_tasks(
+        &self,
+        now: Secs,
+        rooms: &[Room],
+        mut book: impl FnMut(&JobSpec) -> bool,
+    ) -> Vec<(JobSpec, u32)> {
+        let ms = |at: Secs| (at.max(now) * 1e3) as u64;
+        // One entry a CPU: when it is free.
+        let mut cpus: BinaryHeap<Reverse<u64>> = BinaryHeap::new();
+        for room in rooms {
+            cpus.extend((0..room.free[0].max(0.0) as u32).map(|_| Reverse(ms(room.at))));
+        }
+        let mut waiting = Vec::new();
+        for job in self.jobs.values().filter(|j| j.spec().kind == Kind::Array) {
+            let run = job.likely_run();
+            let width = job.spec().cpus.ceil().max(1.0) as u32;
+            for live in job.live.values() {
+                let ends = live.ran_from.unwrap_or(live.since) + run;
+                cpus.extend((0..width).map(|_| Reverse(ms(ends))));
+            }
+            if job.waiting() > 0 && !job.mistaken() {
+                let due = job.due().unwrap_or(job.arrived + run * (1.0 + WAVES_MAX));
+                waiting.push((due, job, run, width));
+            }
+        }
+        waiting.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let boot = self.hire.types.iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        let mut late = Vec::new();
+        for (due, job, run, width) in waiting {
+            let spec = job.spec();
+            let mut count = 0;
+            for _ in 0..job.waiting() {
+                if !book(spec) {
+                    break;
+                }
+                let taken: Vec<u64> =
+                    (0..width).filter_map(|_| cpus.pop().map(|Reverse(at)| at)).collect();
+                let whole = taken.len() == width as usize;
+                let start = taken.iter().max().map_or(f64::INFINITY, |at| *at as f64 / 1e3);
+                let start = if whole { start } else { f64::INFINITY };
+                if start + run * RENT_SPREAD > due && start > now + boot {
+                    // A machine rented now would start it sooner.
+                    count += 1;
+                    cpus.extend(taken.into_iter().map(Reverse));
+                } else {
+                    cpus.extend((0..width).map(|_| Reverse(ms(start + run))));
+                }
+            }
+            late.push((spec.clone(), count));
+        }
+        late
+    }
+
+    fn send_rent(&mut self, kind: String, zone: String, spot: bool, count: u32, out: &mut Out) {
+        if !self.hire.afford() {
+            return;
+        }
+        self.hire.renting += 1;
+        self.hire.next_request += 1;
+        // Term and counter: no controller ever uses this name again.
+        let request = format!("r-{}-{}", self.term.0, self.hire.next_request);
+        self.log.push(format!(
+            "event=rent request={request} type={kind} zone={zone} spot={spot} count={count}"
+        ));
+        let rent = Rent { request, kind, zone, spot, count: count.min(RENT_MAX) };
+        let op = out.cloud(CloudRequest::Rent(rent.clone()));
+        self.hire.pending.insert(op, Pending::Rent(rent));
+    }
+
+    fn add_preemptable(&self, now: Secs, rooms: &mut [Room]) {
+        // `rooms` lists the usable machines first, in the order of `machines`.
+        let usable = self.machines.values().filter(|m| {
+            m.usable(now, self.facts.report_s)
+                && self.hire.types.iter().any(|t| t.name == m.info.kind)
+        });
+        for (m, room) in usable.zip(rooms) {
+            for task in m.tasks.difference(&m.freed) {
+                let Some(job) = self.jobs.get(&task.job) else {
+                    continue;
+                };
+                let spec = job.spec();
+                if spec.kind == Kind::Array
+                    && spec.priority < marblebarrow_proto::job::Priority::Production
+                {
+                    room.free[0] += spec.cpus;
+                    room.free[1] += spec.gpus;
+                    room.free[2] += spec.memory_gb;
+                }
+            }
+        }
+    }
+
+    /// The cheapest machine for tasks like this, as a room and as type, zone
+    /// and kind.
+    fn choose(
+        &mut self,
+        now: Secs,
+        spec: &JobSpec,
+        tasks: u32,
+    ) -> Option<(Room, (String, String, bool))> {
+        let h = &mut self.hire;
+        h.no_capacity.retain(|_, until| now < *until);
+        h.next_zone += 1;
+        let mut best: Option<(f64, usize, &MachineType, String, bool)> = None;
+        for t in h.types.iter().filter(|t| type_allows(spec, t)) {
+            let holds = per_machine(spec, t);
+            if holds == 0 {
+                continue;
+            }
+            // A machine larger than the need is paid for in full.
+            let used = f64::from(tasks.min(holds));
+            for (i, zone) in t.zones.iter().enumerate() {
+                if spec.zone.as_ref().is_some_and(|z| z != zone) {
+                    continue;
+                }
+                for spot in [true, false] {
+                    if spot && !spec.spot
+                        || h.no_capacity.contains_key(&(t.name.clone(), zone.clone(), spot))
+                    {
+                        continue;
+                    }
+                    let price = if spot { t.spot_price } else { t.price } / used;
+                    let turn = (i + h.next_zone) % t.zones.len().max(1);
+                    if best.as_ref().is_none_or(|b| (price, turn) < (b.0, b.1)) {
+                        best = Some((price, turn, t, zone.clone(), spot));
+                    }
+                }
+            }
+        }
+        let (_, _, t, zone, spot) = best?;
+        let free = [t.cpus, t.gpus, t.memory_gb];
+        let room =
+            Room { at: now + t.boot_s, free, spot, kind: t.name.clone(), zone: zone.clone() };
+        Some((room, (t.name.clone(), zone, spot)))
+    }
+}
+
+fn per_machine(spec: &JobSpec, t: &MachineType) -> u32 {
+    let by = |need: f64, have: f64| {
+        if need > 0.0 { (have / need + 1e-9).floor() } else { f64::MAX }
+    };
+    by(spec.cpus, t.cpus).min(by(spec.gpus, t.gpus)).min(by(spec.memory_gb, t.memory_gb)).min(1e4)
+        as u32
+}
+
+fn take_room(rooms: &mut [Room], spec: &JobSpec) -> bool {
+    let needs = [spec.cpus, spec.gpus, spec.memory_gb];
+    let room = rooms
+        .iter_mut()
+        .filter(|r| {
+            (spec.spot || !r.spot)
+                && spec.types.as_ref().is_none_or(|t| t.contains(&r.kind))
+                && spec.zone.as_ref().is_none_or(|z| *z == r.zone)
+                && (0..3).all(|i| r.free[i] + 1e-9 >= needs[i])
+        })
+        // Spot room first: ordinary room is what services need.
+        .min_by_key(|r| (spec.spot && !r.spot, (r.free[0] * 100.0) as i64));
+    let Some(room) = room else { return false };
+    (0..3).for_each(|i| room.free[i] -= needs[i]);
+    true
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! The stand-in world of the cluster test. Time runs in steps of 0.1 s.
 
 use marblebarrow_core::event::*;
-use marblebarrow_core::facts::{Facts, Team};
+use marblebarrow_core::facts::{Facts, Team, Tuning};
 use marblebarrow_core::node::Node;
 use marblebarrow_proto::cbor;
 use marblebarrow_proto::ids::*;
@@ -214,6 +214,7 @@
             store_txn_ops: 16,
             cloud_rps: 5.0,
             list_lag_s: 2.0,
+            tuning: Tuning::default(),
         }
     }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -21,6 +21,9 @@
     /// Settings file (TOML); without a command, serves
     #[arg(long, value_name = "FILE")]
     config: Option<PathBuf>,
+    /// Operators' own settings (HCL), optional
+    #[arg(long, value_name = "FILE", global = true)]
+    operator: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Cmd>,
 }
@@ -69,8 +72,10 @@
     /// Does what was asked.
     pub fn run(self) -> ExitCode {
         match (self.command, self.config) {
-            (Some(Cmd::Serve { config }), _) | (None, Some(config)) => serve(&config),
-            (Some(Cmd::Check { config }), _) => match Settings::load(&config) {
+            (Some(Cmd::Serve { config }), _) | (None, Some(config)) => {
+                serve(&config, self.operator.as_deref())
+            }
+            (Some(Cmd::Check { config }), _) => match load(&config, self.operator.as_deref()) {
                 Ok(s) => {
                     println!(
                         "{}: ok, controller {} of {}, {} teams",
@@ -81,7 +86,7 @@
                     );
                     ExitCode::SUCCESS
                 }
-                Err(e) => bad(&e.to_string()),
+                Err(e) => bad(&e),
             },
             (Some(Cmd::Submit { server, file }), _) => match job_body(&file) {
                 Ok(body) => call(server, "POST", "/api/jobs", &body),
@@ -103,10 +108,18 @@
     ExitCode::from(BAD_USE)
 }
 
-fn serve(config: &Path) -> ExitCode {
-    let settings = match Settings::load(config) {
+fn load(config: &Path, operator: Option<&Path>) -> Result<Settings, String> {
+    let mut settings = Settings::load(config).map_err(|e| e.to_string())?;
+    if let Some(path) = operator {
+        settings.facts.tuning = crate::operator::load(path)?;
+    }
+    Ok(settings)
+}
+
+fn serve(config: &Path, operator: Option<&Path>) -> ExitCode {
+    let settings = match load(config, operator) {
         Ok(s) => s,
-        Err(e) => return bad(&e.to_string()),
+        Err(e) => return bad(&e),
     };
     let level = std::env::var("LOG_LEVEL")
         .ok()
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 mod http;
 mod limits;
 mod links;
+mod operator;
 mod owner;
 mod peers;
 mod server;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings that the platform hands over (TOML). Unknown fields are
 //! ignored; a missing or invalid one stops the start with one line.
 
-use marblebarrow_core::facts::{DeadlineAim, Facts, Team};
+use marblebarrow_core::facts::{DeadlineAim, Facts, Team, Tuning};
 use marblebarrow_proto::ids::NodeId;
 use serde::Deserialize;
 use std::net::SocketAddr;
@@ -201,6 +201,7 @@
             store_txn_ops: f.state.txn_ops,
             cloud_rps: positive("facts.cloud.rps", f.cloud.rps)?,
             list_lag_s: positive("facts.cloud.list_lag_s", f.cloud.list_lag_s)?,
+            tuning: Tuning::default(),
         };
         Ok(Self {
             listen: raw.serve_on,
