--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -42,6 +42,7 @@
             .filter(|m| m.heard.is_some_and(|h| now - h < self.facts.report_s * SILENT_REPORTS));
         let heard_lately =
             now - self.hire.office_at > GONE_AFTER_S && lately.count() * 2 > self.machines.len();
+        let office_at = self.hire.office_at;
         let mut idle = Vec::new();
         for (id, m) in &mut self.machines {
             let stuck = m.tasks.iter().all(|t| {
@@ -50,7 +51,9 @@
                     .and_then(|j| j.live.get(&t.index))
                     .is_some_and(|l| l.doubt && l.stop.is_some() && l.phase == Phase::Sent)
             });
-            let silent = m.heard.is_some_and(|h| now - h > gone);
+            // Recorded and never heard in this term counts from taking office:
+            // such a machine held up recovery for a whole lease.
+            let silent = now - m.heard.unwrap_or(office_at) > gone;
             if silent && heard_lately && m.info.spot && m.lapsed.is_none() && !m.releasing {
                 self.log.push(format!("event=silent machine={id} spot={}", m.info.spot));
                 m.releasing = true;
