--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -107,7 +107,7 @@
 pub const GONE_MARGIN_S: f64 = 1.0;
 /// No machine is given up as silent so soon after a takeover, seconds: workers
 /// need a report's timeout and a try or two to find the new leader.
-pub const GONE_AFTER_S: f64 = 8.0;
+pub const GONE_AFTER_S: f64 = 6.5;
 /// After a direct command failed, reports carry the commands for this long,
 /// seconds.
 pub const DIRECT_BACKOFF_S: f64 = 3.0;
--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -54,7 +54,10 @@
             // Recorded and never heard in this term counts from taking office:
             // such a machine held up recovery for a whole lease.
             let silent = now - m.heard.unwrap_or(office_at) > gone;
-            if silent && heard_lately && m.info.spot && m.lapsed.is_none() && !m.releasing {
+            // An ordinary machine may be cut and its replicas serve on; but if
+            // it was never heard in this term, its lease is mostly over by now.
+            let given_up = m.info.spot || m.heard.is_none();
+            if silent && heard_lately && given_up && m.lapsed.is_none() && !m.releasing {
                 self.log.push(format!("event=silent machine={id} spot={}", m.info.spot));
                 m.releasing = true;
                 self.hire.release.insert(id.clone());
