--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -72,8 +72,6 @@
     pub store_rps: f64,
     /// Store changes a second.
     pub store_write_rps: f64,
-    /// Store value limit, KiB.
-    pub store_value_kb: f64,
     /// Changes in a transaction.
     pub store_txn_ops: usize,
     /// Cloud requests a second.
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -43,8 +43,6 @@
     pub doubt: bool,
     /// It is to stop, with this much time to save.
     pub stop: Option<f64>,
-    /// Whether it was a pilot.
-    pub pilot: bool,
 }
 
 /// Why a task came to an end.
@@ -384,7 +382,6 @@
             ran_from: Some(now),
             doubt: false,
             stop: None,
-            pilot: false,
         };
         job.place(n, live);
     }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -72,20 +72,13 @@
     }
 
     fn place_services(&mut self, pass: &mut Pass) {
-        let mut ids: Vec<(Reverse<marblebarrow_proto::job::Priority>, Secs, JobId)> = self
-            .jobs
-            .iter()
-            .filter(|(_, j)| j.spec().kind == Kind::Service && j.waiting() > 0)
-            .map(|(id, j)| (Reverse(j.spec().priority), j.arrived, id.clone()))
-            .collect();
-        ids.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        for (_, _, id) in ids {
+        for id in self.waiting_by_rank(Kind::Service) {
             while let Some(n) = self.jobs.get_mut(&id).and_then(|j| j.next_task(pass.now)) {
                 // A machine with the image at once, be it by preemption; then
                 // wherever the fetch is shortest.
-                let placed = self.place_task(pass, &id, n, false, Images::Held)
+                let placed = self.place_task(pass, &id, n, Images::Held)
                     || self.preempt_for(pass, &id, n, Images::Held, Claim::Rank)
-                    || self.place_task(pass, &id, n, false, Images::Any)
+                    || self.place_task(pass, &id, n, Images::Any)
                     || self.preempt_for(pass, &id, n, Images::Any, Claim::Rank);
                 if !placed {
                     break;
@@ -94,17 +87,22 @@
         }
     }
 
-    /// A gang starts when all its tasks fit at once; until then the others of
-    /// its queue are served.
-    fn place_gangs(&mut self, pass: &mut Pass) {
-        let mut ids: Vec<(Reverse<marblebarrow_proto::job::Priority>, Secs, JobId)> = self
+    /// Jobs of a kind that have tasks waiting, by rank and arrival.
+    fn waiting_by_rank(&self, kind: Kind) -> Vec<JobId> {
+        let mut ids: Vec<_> = self
             .jobs
             .iter()
-            .filter(|(_, j)| j.spec().kind == Kind::Gang && j.waiting() > 0)
+            .filter(|(_, j)| j.spec().kind == kind && j.waiting() > 0)
             .map(|(id, j)| (Reverse(j.spec().priority), j.arrived, id.clone()))
             .collect();
         ids.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        for (_, _, id) in ids {
+        ids.into_iter().map(|(_, _, id)| id).collect()
+    }
+
+    /// A gang starts when all its tasks fit at once; until then the others of
+    /// its queue are served.
+    fn place_gangs(&mut self, pass: &mut Pass) {
+        for id in self.waiting_by_rank(Kind::Gang) {
             let Some(job) = self.jobs.get(&id) else {
                 continue;
             };
@@ -116,7 +114,7 @@
             let places = self.gang_places(pass, job, &members);
             let attempt = self.new_attempt();
             for (n, machine) in places {
-                self.put(pass, &id, n, &machine, attempt, false);
+                self.put(pass, &id, n, &machine, attempt);
             }
         }
     }
@@ -239,12 +237,11 @@
             Serve::Pilots => job.next_pilot(pass.now)?,
             Serve::All => job.next_task(pass.now)?,
         };
-        let pilot = serve == Serve::Pilots;
         let cpus = job.spec().cpus.max(1e-3);
         // Patience with images has an end, or a rare one would never be fetched.
         let waited = pass.now - job.arrived > IMAGE_PATIENCE_S;
         let images = if waited { Images::Any } else { images };
-        if self.place_task(pass, id, n, pilot, images) {
+        if self.place_task(pass, id, n, images) {
             return Some(cpus);
         }
         let patient = pass.now - self.jobs.get(id)?.arrived < GUARANTEE_PATIENCE_S;
@@ -336,14 +333,7 @@
     }
 
     /// Places one task on the best machine with room.
-    fn place_task(
-        &mut self,
-        pass: &mut Pass,
-        id: &JobId,
-        n: u32,
-        pilot: bool,
-        images: Images,
-    ) -> bool {
+    fn place_task(&mut self, pass: &mut Pass, id: &JobId, n: u32, images: Images) -> bool {
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
@@ -391,7 +381,7 @@
             return false;
         };
         let attempt = self.new_attempt();
-        self.put(pass, id, n, &machine, attempt, pilot);
+        self.put(pass, id, n, &machine, attempt);
         true
     }
 
@@ -400,15 +390,7 @@
         Attempt::new(self.term, self.next_attempt)
     }
 
-    fn put(
-        &mut self,
-        pass: &mut Pass,
-        id: &JobId,
-        n: u32,
-        machine: &MachineId,
-        attempt: Attempt,
-        pilot: bool,
-    ) {
+    fn put(&mut self, pass: &mut Pass, id: &JobId, n: u32, machine: &MachineId, attempt: Attempt) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -420,7 +402,6 @@
             ran_from: None,
             doubt: false,
             stop: None,
-            pilot,
         };
         let new = !job.start_recorded(n, machine);
         job.place(n, live);
@@ -530,7 +511,7 @@
             }
         }
         let attempt = self.new_attempt();
-        self.put(pass, id, n, &machine, attempt, false);
+        self.put(pass, id, n, &machine, attempt);
         true
     }
 
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -191,7 +191,6 @@
             ran_from: None,
             doubt: false,
             stop: job.cancelled.then_some(0.0),
-            pilot: false,
         };
         job.live.insert(n, live);
         if running {
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -210,7 +210,6 @@
             lease_s: LEASE_S,
             store_rps: 200.0,
             store_write_rps: 60.0,
-            store_value_kb: 16.0,
             store_txn_ops: 16,
             cloud_rps: 5.0,
             list_lag_s: 2.0,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -63,3 +63,6 @@
 pub const PEER_TIME: Duration = Duration::from_millis(700);
 /// Words to the other controllers that may wait.
 pub const PEER_QUEUE: usize = 64;
+/// Least value limit of the state service that our records fit, KiB: two bit
+/// maps of a part's tasks, and the names of the machines a job may be on.
+pub const VALUE_KB_MIN: f64 = 8.0;
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -138,7 +138,7 @@
                 }
             }
             Word::Pledge(term, sent) => {
-                let req = PledgeRequest { node: me.to_string(), term, hold_ms: 0 };
+                let req = PledgeRequest { node: me.to_string(), term };
                 if client.pledge(req).await.is_ok_and(|r| r.into_inner().granted) {
                     let news = PeerNews::Pledged(peer.clone(), sent);
                     inbox.offer(Message::Event(Event::Peer(news)));
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings that the platform hands over (TOML). Unknown fields are
 //! ignored; a missing or invalid one stops the start with one line.
 
+use crate::limits::VALUE_KB_MIN;
 use marblebarrow_core::facts::{DeadlineAim, Facts, Team, Tuning};
 use marblebarrow_proto::ids::NodeId;
 use serde::Deserialize;
@@ -165,6 +166,10 @@
         if f.state.txn_ops == 0 {
             return Err(("facts.state.txn_ops".into(), "is zero".into()));
         }
+        // Progress records are split to stay below this; see `PART_TASKS`.
+        if positive("facts.state.value_kb", f.state.value_kb)? < VALUE_KB_MIN {
+            return Err(("facts.state.value_kb".into(), format!("is below {VALUE_KB_MIN}")));
+        }
         if f.resources.fd_limit < 64 {
             return Err(("facts.resources.fd_limit".into(), "is below 64".into()));
         }
@@ -197,7 +202,6 @@
             lease_s: positive("facts.workers.lease_s", f.workers.lease_s)?,
             store_rps: positive("facts.state.rps", f.state.rps)?,
             store_write_rps: positive("facts.state.write_rps", f.state.write_rps)?,
-            store_value_kb: positive("facts.state.value_kb", f.state.value_kb)?,
             store_txn_ops: f.state.txn_ops,
             cloud_rps: positive("facts.cloud.rps", f.cloud.rps)?,
             list_lag_s: positive("facts.cloud.list_lag_s", f.cloud.list_lag_s)?,
