--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -55,7 +55,7 @@
 /// Submissions and cancels waiting for the store at once; more are told to
 /// come back. A second's worth at the store's usual speed.
 pub const USER_WRITES_MAX: usize = 24;
-/// Polls waiting at once; more are told to come back. 
+/// Polls waiting at once; more are told to come back.
 pub const POLLS_MAX: usize = 400;
 /// Retry-After given when the store can't be reached, seconds: an outage ends
 /// unannounced, and this is the least that users wait anyway.
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/desk.rs
@@ -83,7 +83,7 @@
     if !fits {
         return Some("no allowed machine type holds a task");
     }
-    // A service needs all its replicas at once.
+    // Gangs and services need all their tasks at once.
     let at_once = if spec.kind == Kind::Array { 1.0 } else { f64::from(spec.tasks) };
     let over = |need: f64, limit: f64| limit > 0.0 && need * at_once > limit + 1e-9;
     if over(spec.cpus, team.cpus_max) || over(spec.gpus, team.gpus_max) {
@@ -140,11 +140,7 @@
                 Cond { key: spec_key(&id), version: 0 },
                 Cond { key: end_key(&id), version: 0 },
             ],
-            writes: vec![Write::Put {
-                key: spec_key(&id),
-                value: to_value(&record),
-                grant: None,
-            }],
+            writes: vec![Write::Put { key: spec_key(&id), value: to_value(&record), grant: None }],
         };
         let op = out.store(StoreRequest::Commit(txn));
         self.writes += 1;
@@ -245,7 +241,9 @@
 
     /// Whether an answer of the store is for us; if so, takes it.
     pub fn store(&mut self, a: &Around<'_>, op: OpId, result: &StoreResult, out: &mut Out) -> bool {
-        let Some(pending) = self.pending.remove(&op) else { return false };
+        let Some(pending) = self.pending.remove(&op) else {
+            return false;
+        };
         match pending {
             Pending::Check(asked) => self.checked(a, asked, result, out),
             Pending::Submit(id, to) => {
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -35,9 +35,18 @@
     /// Asked for a grant, at that time.
     Granting(OpId, Secs),
     /// Reads the term counter.
-    Reading { op: OpId, grant: u64, since: Secs },
+    Reading {
+        op: OpId,
+        grant: u64,
+        since: Secs,
+    },
     /// Sent the transaction that makes it leader.
-    Standing { op: Option<OpId>, grant: u64, since: Secs, term: Term },
+    Standing {
+        op: Option<OpId>,
+        grant: u64,
+        since: Secs,
+        term: Term,
+    },
     Leader(Held),
 }
 
@@ -157,12 +166,14 @@
             return;
         }
         match &replica.leader {
-            Some((rec, _)) if rec.node == self.me && rec.boot != self.boot => {
-                // Our own earlier process led: it is dead, so its key may go.
-                if self.revoked != Some(rec.grant) {
-                    self.revoked = Some(rec.grant);
-                    out.store(StoreRequest::Revoke(rec.grant));
-                }
+            // Our own earlier process led: it is dead, so its key may go.
+            Some((rec, _))
+                if rec.node == self.me
+                    && rec.boot != self.boot
+                    && self.revoked != Some(rec.grant) =>
+            {
+                self.revoked = Some(rec.grant);
+                out.store(StoreRequest::Revoke(rec.grant));
             }
             Some(_) => self.not_before = self.not_before.max(now + self.spread),
             None if now >= self.not_before => {
@@ -179,7 +190,13 @@
     }
 
     /// Whether an answer of the store is for us; if so, takes it.
-    pub fn store(&mut self, now: Secs, op: OpId, result: &StoreResult, out: &mut Out) -> Option<Turn> {
+    pub fn store(
+        &mut self,
+        now: Secs,
+        op: OpId,
+        result: &StoreResult,
+        out: &mut Out,
+    ) -> Option<Turn> {
         if let Some((touch, sent)) = self.touch
             && touch == op
         {
@@ -242,8 +259,7 @@
             },
         };
         let term = Term(last + 1);
-        let record =
-            LeaderRecord { node: self.me.clone(), term: term.0, grant, boot: self.boot };
+        let record = LeaderRecord { node: self.me.clone(), term: term.0, grant, boot: self.boot };
         let txn = Txn {
             conds: vec![
                 Cond { key: LEADER.into(), version: 0 },
@@ -272,7 +288,9 @@
     }
 
     fn touched(&mut self, now: Secs, sent: Secs, result: &StoreResult) -> Turn {
-        let Role::Leader(h) = &mut self.role else { return Turn::None };
+        let Role::Leader(h) = &mut self.role else {
+            return Turn::None;
+        };
         match result {
             StoreResult::Touched => {
                 h.valid_until = certain_life(sent);
@@ -328,9 +346,7 @@
     pub fn pledge_asked(
         &mut self,
         now: Secs,
-        reply: ReplyTo,
-        from: &NodeId,
-        term: u64,
+        (reply, from, term): (ReplyTo, &NodeId, u64),
         replica: &Replica,
         store_refuses: bool,
         out: &mut Out,
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -180,7 +180,9 @@
     }
 
     pub(crate) fn cloud_answered(&mut self, now: Secs, op: OpId, result: CloudResult) {
-        let Some(pending) = self.hire.pending.remove(&op) else { return };
+        let Some(pending) = self.hire.pending.remove(&op) else {
+            return;
+        };
         let h = &mut self.hire;
         if matches!(result, CloudResult::Refused | CloudResult::Unknown) {
             h.retry_at = now + CLOUD_RETRY_S;
@@ -205,7 +207,11 @@
             (Pending::List, _) => h.listing = false,
             (Pending::Rent(rent), CloudResult::Rented(names)) => {
                 h.renting -= 1;
-                self.log.push(format!("event=rented request={} count={}", rent.request, names.len()));
+                self.log.push(format!(
+                    "event=rented request={} count={}",
+                    rent.request,
+                    names.len()
+                ));
                 let h = &mut self.hire;
                 if (names.len() as u32) < rent.count {
                     let key = (rent.kind.clone(), rent.zone.clone(), rent.spot);
@@ -311,9 +317,10 @@
         let mut idle = Vec::new();
         for (id, m) in &mut self.machines {
             let stuck = m.tasks.iter().all(|t| {
-                self.jobs.get(&t.job).and_then(|j| j.live.get(&t.index)).is_some_and(|l| {
-                    l.doubt && l.stop.is_some() && l.phase == Phase::Sent
-                })
+                self.jobs
+                    .get(&t.job)
+                    .and_then(|j| j.live.get(&t.index))
+                    .is_some_and(|l| l.doubt && l.stop.is_some() && l.phase == Phase::Sent)
             });
             if m.lapsed.is_some() {
                 // Silent past its lease. Should it be back by then, it will
@@ -440,7 +447,9 @@
         let facts = self.facts.clone();
         // Starts beyond a team's limit don't come, so nothing is rented for them.
         let mut book = |spec: &JobSpec| {
-            let Some(team) = facts.teams.iter().find(|t| t.name == spec.team) else { return false };
+            let Some(team) = facts.teams.iter().find(|t| t.name == spec.team) else {
+                return false;
+            };
             let used = usage.entry(spec.team.clone()).or_default();
             if team.cpus_max > 0.0 && used[0] + spec.cpus > team.cpus_max + 1e-9 {
                 return false;
@@ -450,7 +459,8 @@
         };
         for job in self.waiting_services() {
             let spec = job.spec();
-            let n = (0..job.waiting()).filter(|_| book(spec) && !take_room(&mut rooms, spec)).count();
+            let n =
+                (0..job.waiting()).filter(|_| book(spec) && !take_room(&mut rooms, spec)).count();
             lacking.push((spec.clone(), n as u32));
         }
         // Room held by arrays on ordinary machines can be had by preemption,
@@ -461,11 +471,12 @@
             let n = (0..count).filter(|_| !take_room(&mut warm_rooms, &spec)).count();
             lacking.push((spec, n as u32));
         }
-        for job in self.jobs.values().filter(|j| j.spec().kind == Kind::Array && !j.mistaken()) {
+        for job in self.jobs.values().filter(|j| j.spec().kind != Kind::Service && !j.mistaken()) {
             let run = job.likely_run().max(1.0);
-            let waves = job.due().map_or(WAVES_MAX, |due| {
-                ((due - now) / run).floor().clamp(1.0, WAVES_MAX)
-            });
+            let waves_max = if job.spec().kind == Kind::Gang { 1.0 } else { WAVES_MAX };
+            let waves = job
+                .due()
+                .map_or(waves_max, |due| ((due - now) / run).floor().clamp(1.0, waves_max));
             // Tasks that run now make room for the waves to come.
             let ahead = f64::from(job.waiting()) + job.live.len() as f64;
             let wanted = (ahead / waves).ceil() - job.live.len() as f64;
@@ -476,7 +487,9 @@
         }
         for (spec, mut count) in lacking {
             while count > 0 && self.hire.renting < 3 {
-                let Some(rent) = self.choose(now, &spec, count) else { break };
+                let Some(rent) = self.choose(now, &spec, count) else {
+                    break;
+                };
                 let holds = self
                     .hire
                     .types
@@ -514,7 +527,9 @@
         });
         for (m, room) in usable.zip(rooms) {
             for task in m.tasks.difference(&m.freed) {
-                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let Some(job) = self.jobs.get(&task.job) else {
+                    continue;
+                };
                 let spec = job.spec();
                 if spec.kind == Kind::Array
                     && spec.priority < marblebarrow_proto::job::Priority::Production
@@ -574,7 +589,9 @@
         for (id, m) in &self.machines {
             let Some(until) = m.notice else { continue };
             for task in &m.tasks {
-                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let Some(job) = self.jobs.get(&task.job) else {
+                    continue;
+                };
                 let spec = job.spec();
                 let due = until - now < spec.save_s + self.facts.report_s;
                 if spec.checkpoint_s > 0.0 && due {
@@ -599,9 +616,8 @@
         for m in self.machines.values().filter(|m| m.notice.is_some() || m.cordoned) {
             for task in &m.tasks {
                 let live = self.jobs.get(&task.job).and_then(|j| j.live.get(&task.index));
-                if live.is_some_and(|l| {
-                    matches!(l.phase, Phase::Placed | Phase::Ready) && !l.doubt
-                }) {
+                if live.is_some_and(|l| matches!(l.phase, Phase::Placed | Phase::Ready) && !l.doubt)
+                {
                     back.push(task.clone());
                 }
             }
@@ -613,7 +629,9 @@
 }
 
 fn per_machine(spec: &JobSpec, t: &MachineType) -> u32 {
-    let by = |need: f64, have: f64| if need > 0.0 { (have / need + 1e-9).floor() } else { f64::MAX };
+    let by = |need: f64, have: f64| {
+        if need > 0.0 { (have / need + 1e-9).floor() } else { f64::MAX }
+    };
     by(spec.cpus, t.cpus).min(by(spec.gpus, t.gpus)).min(by(spec.memory_gb, t.memory_gb)).min(1e4)
         as u32
 }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -95,6 +95,8 @@
     pub cancelled: bool,
     /// Its last transaction is under way.
     pub closing: bool,
+    /// A gang found itself incomplete: the tasks that are done are needed too.
+    pub whole_gang: bool,
     failed_on: BTreeSet<MachineId>,
     successes: u32,
     errors: u32,
@@ -103,7 +105,12 @@
 
 impl Job {
     /// A job as the watch brings it.
-    pub fn new(record: Arc<SpecRecord>, spec_version: u64, arrived: Secs, rng: &mut impl rand::Rng) -> Self {
+    pub fn new(
+        record: Arc<SpecRecord>,
+        spec_version: u64,
+        arrived: Secs,
+        rng: &mut impl rand::Rng,
+    ) -> Self {
         let spec = &record.spec;
         let mut pilots = Vec::new();
         if spec.kind == Kind::Array && spec.tasks >= THIN_LIMIT {
@@ -134,6 +141,7 @@
             queue,
             cancelled: false,
             closing: false,
+            whole_gang: false,
             failed_on: BTreeSet::new(),
             successes: 0,
             errors: 0,
@@ -156,14 +164,21 @@
         !self.finished.contains(n) && !self.live.contains_key(&n) && !self.limbo.contains(&n)
     }
 
+    /// All tasks of a gang that are to start together, if it may start.
+    pub fn gang_members(&self, now: Secs) -> Vec<u32> {
+        let free = self.live.is_empty() && self.limbo.is_empty() && self.may_start(now);
+        if !free || self.complete() || self.again.values().any(|&at| at > now) {
+            return Vec::new();
+        }
+        (0..self.spec().tasks).filter(|n| self.whole_gang || !self.finished.contains(*n)).collect()
+    }
+
     /// The next pilot that waits.
     pub fn next_pilot(&mut self, now: Secs) -> Option<u32> {
         if !self.may_start(now) {
             return None;
         }
-        let ready = |n: &u32| {
-            self.startable(*n) && self.again.get(n).is_none_or(|&at| at <= now)
-        };
+        let ready = |n: &u32| self.startable(*n) && self.again.get(n).is_none_or(|&at| at <= now);
         self.pilots.iter().copied().find(ready)
     }
 
@@ -288,7 +303,8 @@
         self.runs.1 += run;
         let pilots_done = self.pilots.iter().all(|p| self.finished.contains(*p));
         if self.queue.is_none() && pilots_done || self.queue.is_some() && !self.pilots.is_empty() {
-            self.queue = Some(queue_of(self.runs.1 / f64::from(self.runs.0) * f64::from(self.spec().tasks)));
+            self.queue =
+                Some(queue_of(self.runs.1 / f64::from(self.runs.0) * f64::from(self.spec().tasks)));
         }
     }
 
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -130,7 +130,9 @@
     }
 
     pub(crate) fn learn_job(&mut self, now: Secs, wall_ms: u64, id: &JobId, replica: &Replica) {
-        let Some((record, version)) = replica.specs.get(id) else { return };
+        let Some((record, version)) = replica.specs.get(id) else {
+            return;
+        };
         if self.jobs.contains_key(id) || self.writer.closed(id, *version) {
             return;
         }
@@ -147,7 +149,9 @@
 
     /// A job was cancelled: nothing of it starts from now on, all of it stops.
     pub(crate) fn cut(&mut self, now: Secs, id: &JobId) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
         if job.cancelled {
             return;
         }
@@ -174,7 +178,9 @@
 
     /// An attempt is surely over: frees its place, and keeps the result.
     pub(crate) fn over(&mut self, id: &JobId, n: u32, outcome: Outcome, now: Secs) {
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
         if let Some(live) = job.live.get(&n) {
             let task = TaskId { job: id.clone(), index: n };
             if let Some(m) = self.machines.get_mut(&live.machine)
@@ -227,7 +233,9 @@
 
     /// Everything on a machine is surely gone.
     pub(crate) fn lose_tasks(&mut self, machine: &MachineId, now: Secs) {
-        let Some(m) = self.machines.get_mut(machine) else { return };
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
         m.exited.clear();
         m.strangers.clear();
         m.keep.clear();
@@ -268,8 +276,12 @@
 
     /// A worker answered direct commands, or didn't.
     pub fn direct(&mut self, now: Secs, op: OpId, result: DirectResult) {
-        let Some(sent) = self.directs.remove(&op) else { return };
-        let Some(m) = self.machines.get_mut(&sent.machine) else { return };
+        let Some(sent) = self.directs.remove(&op) else {
+            return;
+        };
+        let Some(m) = self.machines.get_mut(&sent.machine) else {
+            return;
+        };
         if m.direct == Some(op) {
             m.direct = None;
         }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -37,8 +37,7 @@
     /// A fresh process. `boot` is random and tells it from earlier ones.
     pub fn new(facts: Facts, boot: u64, now: Secs) -> Self {
         let facts = Arc::new(facts);
-        let election =
-            Election::new(facts.node.clone(), facts.others.clone(), boot, now).founded();
+        let election = Election::new(facts.node.clone(), facts.others.clone(), boot, now).founded();
         Self {
             facts,
             election,
@@ -96,7 +95,9 @@
     pub fn handle(&mut self, now: Secs, wall_ms: u64, event: Event) {
         match event {
             Event::User(to, UserRequest::Health) => self.health(now, to),
-            Event::User(to, req) => self.with_desk(now, wall_ms, |desk, a, out| desk.ask(a, to, req, out)),
+            Event::User(to, req) => {
+                self.with_desk(now, wall_ms, |desk, a, out| desk.ask(a, to, req, out))
+            }
             Event::Report(to, report) => self.report(now, to, &report),
             Event::Store(op, result) => self.store(now, wall_ms, op, result),
             Event::Watch(news) => {
@@ -157,7 +158,12 @@
         }
     }
 
-    fn with_desk(&mut self, now: Secs, wall_ms: u64, f: impl FnOnce(&mut Desk, &Around<'_>, &mut Out)) {
+    fn with_desk(
+        &mut self,
+        now: Secs,
+        wall_ms: u64,
+        f: impl FnOnce(&mut Desk, &Around<'_>, &mut Out),
+    ) {
         let around = Around {
             now,
             wall_ms,
@@ -172,8 +178,7 @@
     // Healthy if the store serves us, or serves nobody: in an outage of the
     // store no controller is better than another.
     fn health(&mut self, now: Secs, to: ReplyTo) {
-        let peer_served =
-            self.peers_ok.values().any(|&(at, ok)| ok && now - at < BEAT_FRESH_S);
+        let peer_served = self.peers_ok.values().any(|&(at, ok)| ok && now - at < BEAT_FRESH_S);
         let healthy = self.replica.synced && !(self.store_bad() && peer_served);
         let answer = if healthy { Answer::Healthy } else { Answer::Unavailable(RETRY_STORE_S) };
         self.out.reply(to, answer);
@@ -247,9 +252,7 @@
                 let refuses = self.store_bad();
                 self.election.pledge_asked(
                     now,
-                    reply,
-                    &from,
-                    term,
+                    (reply, &from, term),
                     &self.replica,
                     refuses,
                     &mut self.out,
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -40,6 +40,7 @@
             return;
         }
         self.place_services(&mut pass);
+        self.place_gangs(&mut pass);
         // First those within their team's guarantee, then all.
         for guaranteed in [true, false] {
             self.place_arrays(&mut pass, guaranteed);
@@ -55,10 +56,7 @@
             .collect();
         ids.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
         for (_, _, id) in ids {
-            loop {
-                let Some(n) = self.jobs.get_mut(&id).and_then(|j| j.next_task(pass.now)) else {
-                    break;
-                };
+            while let Some(n) = self.jobs.get_mut(&id).and_then(|j| j.next_task(pass.now)) {
                 if !self.place_task(pass, &id, n, false) && !self.preempt_for(pass, &id, n) {
                     break;
                 }
@@ -66,6 +64,85 @@
         }
     }
 
+    /// A gang starts when all its tasks fit at once; until then the others of
+    /// its queue are served.
+    fn place_gangs(&mut self, pass: &mut Pass) {
+        let mut ids: Vec<(Reverse<marblebarrow_proto::job::Priority>, Secs, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.spec().kind == Kind::Gang && j.waiting() > 0)
+            .map(|(id, j)| (Reverse(j.spec().priority), j.arrived, id.clone()))
+            .collect();
+        ids.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        for (_, _, id) in ids {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            let members = job.gang_members(pass.now);
+            if members.is_empty() {
+                continue;
+            }
+            // The members of a gang find each other by their common attempt.
+            let places = self.gang_places(pass, job, &members);
+            let attempt = self.new_attempt();
+            for (n, machine) in places {
+                self.put(pass, &id, n, &machine, attempt, false);
+            }
+        }
+    }
+
+    /// Machines for all members, or none.
+    fn gang_places(&self, pass: &Pass, job: &Job, members: &[u32]) -> Vec<(u32, MachineId)> {
+        let spec = job.spec();
+        let n = members.len() as f64;
+        let whole = JobSpec { cpus: spec.cpus * n, gpus: spec.gpus * n, ..spec.clone() };
+        if members.is_empty() || !self.within_limit(pass, &whole) {
+            return Vec::new();
+        }
+        let mut zones: Vec<Option<&str>> = vec![None];
+        if spec.one_zone {
+            zones = self.machines.values().map(|m| Some(m.info.zone.as_str())).collect();
+            zones.sort_unstable();
+            zones.dedup();
+        }
+        for zone in zones {
+            let mut rooms: Vec<(&MachineId, &str, [f64; 3], bool)> = self
+                .machines
+                .iter()
+                .filter(|(id, m)| {
+                    m.usable(pass.now, self.facts.report_s)
+                        && zone.is_none_or(|z| z == m.info.zone)
+                        && self.allowed(job, id, pass)
+                        && !m.exited.keys().any(|(t, _)| t.job == spec.id)
+                })
+                .filter_map(|(id, m)| {
+                    let free = m.free(pass.types.get(&m.info.kind)?);
+                    Some((id, m.info.zone.as_str(), free, m.has_image(&spec.image)))
+                })
+                .collect();
+            // Machines with the image first, then the fullest.
+            rooms.sort_by(|a, b| b.3.cmp(&a.3).then(a.2[0].total_cmp(&b.2[0])));
+            let mut in_zone: BTreeMap<&str, u32> = BTreeMap::new();
+            let mut places = Vec::new();
+            for &member in members {
+                let most = if spec.spread { spec.tasks.div_ceil(2) } else { u32::MAX };
+                let room = rooms.iter_mut().find(|(_, z, free, _)| {
+                    fits(spec, free) && in_zone.get(z).copied().unwrap_or(0) < most
+                });
+                let Some((id, z, free, _)) = room else { break };
+                free[0] -= spec.cpus;
+                free[1] -= spec.gpus;
+                free[2] -= spec.memory_gb;
+                *in_zone.entry(z).or_default() += 1;
+                places.push((member, (*id).clone()));
+            }
+            if places.len() == members.len() {
+                return places;
+            }
+        }
+        Vec::new()
+    }
+
     fn place_arrays(&mut self, pass: &mut Pass, guaranteed: bool) {
         let now = pass.now;
         let mut queues: Vec<Vec<(u8, Secs, JobId, Serve)>> = vec![Vec::new(); QUEUES];
@@ -101,7 +178,9 @@
                 .filter(|&q| !queues[q].is_empty())
                 .min_by(|&a, &b| (used[a] / weight(a)).total_cmp(&(used[b] / weight(b))));
             let Some(q) = next else { break };
-            let Some((_, _, id, serve)) = queues[q].last().cloned() else { break };
+            let Some((_, _, id, serve)) = queues[q].last().cloned() else {
+                break;
+            };
             match self.place_next(pass, &id, serve, guaranteed) {
                 Some(cpus) => used[q] += cpus,
                 None => {
@@ -158,7 +237,9 @@
     /// Whether a task of the job may start on a machine as far as type, zone
     /// and kind go, given the job's other tasks.
     fn allowed(&self, job: &Job, machine: &MachineId, pass: &Pass) -> bool {
-        let Some(m) = self.machines.get(machine) else { return false };
+        let Some(m) = self.machines.get(machine) else {
+            return false;
+        };
         let spec = job.spec();
         let info = &m.info;
         if !pass.types.contains_key(&info.kind)
@@ -180,12 +261,14 @@
         if spec.one_zone && here != job.live.len() {
             return false;
         }
-        !spec.spread || here as u32 + 1 <= spec.tasks.div_ceil(2)
+        !spec.spread || (here as u32) < spec.tasks.div_ceil(2)
     }
 
     /// Places one task on the best machine with room.
     fn place_task(&mut self, pass: &mut Pass, id: &JobId, n: u32, pilot: bool) -> bool {
-        let Some(job) = self.jobs.get(id) else { return false };
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
         let spec = job.spec();
         if !self.within_limit(pass, spec) {
             return false;
@@ -196,7 +279,9 @@
             if !m.usable(pass.now, self.facts.report_s) {
                 continue;
             }
-            let Some(t) = pass.types.get(&m.info.kind) else { continue };
+            let Some(t) = pass.types.get(&m.info.kind) else {
+                continue;
+            };
             let free = m.free(t);
             if !fits(spec, &free)
                 || !self.allowed(job, mid, pass)
@@ -218,15 +303,31 @@
                 best = Some((score, mid.clone()));
             }
         }
-        let Some((_, machine)) = best else { return false };
-        self.put(pass, id, n, &machine, pilot);
+        let Some((_, machine)) = best else {
+            return false;
+        };
+        let attempt = self.new_attempt();
+        self.put(pass, id, n, &machine, attempt, pilot);
         true
     }
 
-    fn put(&mut self, pass: &mut Pass, id: &JobId, n: u32, machine: &MachineId, pilot: bool) {
+    fn new_attempt(&mut self) -> Attempt {
         self.next_attempt += 1;
-        let attempt = Attempt::new(self.term, self.next_attempt);
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        Attempt::new(self.term, self.next_attempt)
+    }
+
+    fn put(
+        &mut self,
+        pass: &mut Pass,
+        id: &JobId,
+        n: u32,
+        machine: &MachineId,
+        attempt: Attempt,
+        pilot: bool,
+    ) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
         let live = Live {
             machine: machine.clone(),
             attempt,
@@ -260,7 +361,9 @@
     /// Makes room for a service by stopping tasks of lower rank, those that
     /// lose least first.
     fn preempt_for(&mut self, pass: &mut Pass, id: &JobId, n: u32) -> bool {
-        let Some(job) = self.jobs.get(id) else { return false };
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
         let spec = job.spec().clone();
         if !self.within_limit(pass, &spec) {
             return false;
@@ -270,7 +373,9 @@
             if !m.usable(pass.now, self.facts.report_s) || !self.allowed(job, mid, pass) {
                 continue;
             }
-            let Some(t) = pass.types.get(&m.info.kind) else { continue };
+            let Some(t) = pass.types.get(&m.info.kind) else {
+                continue;
+            };
             let mut free = m.free(t);
             let mut victims: Vec<(f64, TaskId, [f64; 3])> = m
                 .tasks
@@ -307,12 +412,15 @@
                 best = Some((score, mid.clone(), chosen));
             }
         }
-        let Some((_, machine, victims)) = best else { return false };
+        let Some((_, machine, victims)) = best else {
+            return false;
+        };
         for task in victims {
             self.log.push(format!("event=preempt task={task} for={id} machine={machine}"));
             self.preempt(pass.now, &task);
         }
-        self.put(pass, id, n, &machine, false);
+        let attempt = self.new_attempt();
+        self.put(pass, id, n, &machine, attempt, false);
         true
     }
 
@@ -326,7 +434,9 @@
         // Tasks that are told to stop at once free their room before the
         // command behind the stop is executed, so the room counts as free.
         let machine = live.machine.clone();
-        let Some(spec) = self.jobs.get(&task.job).map(|j| j.record.spec.clone()) else { return };
+        let Some(spec) = self.jobs.get(&task.job).map(|j| j.record.spec.clone()) else {
+            return;
+        };
         if let Some(m) = self.machines.get_mut(&machine) {
             m.used[0] -= spec.cpus;
             m.used[1] -= spec.gpus;
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -2,8 +2,10 @@
 //! leader started until every recorded machine has reported under our term,
 //! was released, or outlived its lease since we took office.
 
+use crate::consts::STORE_RETRY_S;
 use crate::event::{OpId, Out, Secs, StoreRequest, StoreResult};
 use crate::fleet::{Machine, Recorded};
+use crate::jobs::Job;
 use crate::leader::Leader;
 use crate::replica::Replica;
 use marblebarrow_proto::cbor::from_value;
@@ -12,8 +14,6 @@
     MACHINES, MachineRecord, PROGRESS, ProgressRecord, parse_progress_key,
 };
 use marblebarrow_proto::wire::Item;
-use crate::consts::STORE_RETRY_S;
-use crate::jobs::Job;
 
 /// The reads of a new leader.
 #[derive(Debug)]
@@ -41,14 +41,22 @@
         });
     }
 
-    pub(crate) fn keep_loading(&mut self, now: Secs, wall_ms: u64, replica: &Replica, out: &mut Out) {
+    pub(crate) fn keep_loading(
+        &mut self,
+        now: Secs,
+        wall_ms: u64,
+        replica: &Replica,
+        out: &mut Out,
+    ) {
         let Some(l) = &mut self.loading else { return };
         if l.complete {
             return self.take_office(now, wall_ms, replica, out);
         }
         if l.op.is_none() && now >= l.retry_at {
             let prefix = if l.machines { MACHINES } else { PROGRESS };
-            l.op = Some(out.store(StoreRequest::Range { prefix: prefix.into(), after: l.after.clone() }));
+            l.op = Some(
+                out.store(StoreRequest::Range { prefix: prefix.into(), after: l.after.clone() }),
+            );
         }
     }
 
@@ -96,22 +104,29 @@
             self.learn_job(now, wall_ms, id, replica);
         }
         for item in l.progress_items {
-            let Some((id, part)) = parse_progress_key(&item.key) else { continue };
-            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let Some((id, part)) = parse_progress_key(&item.key) else {
+                continue;
+            };
+            let Some(job) = self.jobs.get_mut(&id) else {
+                continue;
+            };
             if let Ok(record) = from_value::<ProgressRecord>(&item.value) {
                 restore(job, part, item.version, &record);
             }
         }
         for (id, job) in &mut self.jobs {
-            job.limbo =
-                job.started.iter().filter(|n| !job.finished.contains(*n)).collect();
+            job.limbo = job.started.iter().filter(|n| !job.finished.contains(*n)).collect();
             if job.complete() {
                 self.writer.close(id);
             }
         }
         for item in l.machine_items {
-            let Some(name) = item.key.strip_prefix(MACHINES) else { continue };
-            let Ok(info) = from_value::<MachineRecord>(&item.value) else { continue };
+            let Some(name) = item.key.strip_prefix(MACHINES) else {
+                continue;
+            };
+            let Ok(info) = from_value::<MachineRecord>(&item.value) else {
+                continue;
+            };
             let mut m = Machine::new(info, now);
             m.recorded = Recorded::Yes(item.version);
             self.machines.insert(MachineId::new(name), m);
@@ -156,7 +171,9 @@
 }
 
 fn restore(job: &mut Job, part: u32, version: u64, record: &ProgressRecord) {
-    let Some(slot) = job.parts.get_mut(part as usize) else { return };
+    let Some(slot) = job.parts.get_mut(part as usize) else {
+        return;
+    };
     *slot = version;
     let (start, len) = Job::part_range(part);
     record.started.unpack(start, len, &mut job.started);
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -2,11 +2,11 @@
 //! user, and nothing is decided for good, on its word alone.
 
 use crate::event::WatchNews;
+use ciborium::Value;
 use marblebarrow_proto::cbor::from_value;
 use marblebarrow_proto::ids::JobId;
 use marblebarrow_proto::records::{self, LeaderRecord, SpecRecord};
 use marblebarrow_proto::wire::{MachineType, WatchEvent};
-use ciborium::Value;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -5,7 +5,8 @@
 use crate::fleet::{Machine, Recorded};
 use crate::jobs::{Live, Outcome, Phase};
 use crate::leader::{DirectSent, Leader};
-use marblebarrow_proto::ids::{MachineId, TaskId};
+use marblebarrow_proto::ids::{JobId, MachineId, TaskId};
+use marblebarrow_proto::job::Kind;
 use marblebarrow_proto::records::MachineRecord;
 use marblebarrow_proto::wire::{Command, Report, ReportAnswer, ReportTask, TaskState, Why};
 use std::collections::BTreeSet;
@@ -65,7 +66,9 @@
         if new_session {
             self.lose_tasks(id, now);
         }
-        let Some(m) = self.machines.get_mut(id) else { return };
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
         if m.heard.is_none() || m.lapsed.is_some() || m.session != report.session {
             self.place_due = true;
         }
@@ -98,8 +101,12 @@
         entry: &ReportTask,
         listed: &mut BTreeSet<TaskId>,
     ) {
-        let Some(m) = self.machines.get_mut(id) else { return };
-        let Some(task) = TaskId::parse(&entry.task) else { return };
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
+        let Some(task) = TaskId::parse(&entry.task) else {
+            return;
+        };
         let key = (task.clone(), entry.attempt);
         let Some(job) = self.jobs.get_mut(&task.job).filter(|j| task.index < j.spec().tasks) else {
             // Over and closed, or never ours.
@@ -123,11 +130,17 @@
         }
         if ours {
             listed.insert(task.clone());
-            let Some(live) = job.live.get_mut(&n) else { return };
+            let Some(live) = job.live.get_mut(&n) else {
+                return;
+            };
             match entry.state {
-                TaskState::Running => {
-                    live.phase = Phase::Running;
-                    live.ran_from.get_or_insert(now);
+                TaskState::Running | TaskState::Waiting => {
+                    if entry.state == TaskState::Running {
+                        live.phase = Phase::Running;
+                        live.ran_from.get_or_insert(now);
+                    } else {
+                        live.phase = Phase::Seen;
+                    }
                     let (image, gb) = (&job.record.spec.image, job.record.spec.image_gb);
                     let cache = self.hire.cache_gb(&m.info.kind);
                     m.touch_image(image, gb, cache);
@@ -153,8 +166,12 @@
         if job.live.contains_key(&n) {
             self.over(&task.job, n, Outcome::Lost, now);
         }
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
-        let Some(m) = self.machines.get_mut(id) else { return };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
         job.limbo.remove(&n);
         job.again.remove(&n);
         job.started.insert(n);
@@ -181,7 +198,9 @@
     }
 
     fn task_ended(&mut self, now: Secs, id: &MachineId, task: &TaskId, why: Why, ours: bool) {
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
         let n = task.index;
         let run = job.live.get(&n).and_then(|l| l.ran_from).map(|f| now - f);
         let mean = job.mean_run();
@@ -190,7 +209,16 @@
             Why::Done => Outcome::Done,
             Why::Error => Outcome::Error,
             Why::NoRoom | Why::Busy | Why::Unknown => Outcome::Refused,
-            Why::Stopped | Why::Other => Outcome::Lost,
+            Why::Stopped | Why::Peers | Why::Alone | Why::Other => Outcome::Lost,
+        };
+        if why == Why::Alone {
+            job.whole_gang = true;
+        }
+        if ours && outcome != Outcome::Done && job.spec().kind == Kind::Gang {
+            self.stop_gang(&task.job, n);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
         };
         if outcome == Outcome::Done && !job.finished.contains(n) {
             if !ours && let Some(other) = job.live.get_mut(&n) {
@@ -209,7 +237,9 @@
         if !ours {
             return;
         }
-        let Some(m) = self.machines.get_mut(id) else { return };
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
         match outcome {
             Outcome::Done => {
                 m.errors = 0;
@@ -235,20 +265,38 @@
         }
     }
 
+    // A gang runs whole or not at all: the others end too, saving if they can,
+    // and it is placed again when all are gone.
+    fn stop_gang(&mut self, id: &JobId, lost: u32) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let grace = job.record.spec.save_s * 2.0;
+        for (_, live) in job.live.iter_mut().filter(|(n, l)| **n != lost && l.stop.is_none()) {
+            live.stop = Some(grace);
+            if let Some(m) = self.machines.get_mut(&live.machine) {
+                m.push = true;
+            }
+        }
+    }
+
     // What isn't listed is gone, unless its start may still arrive.
     fn absorb_absent(&mut self, now: Secs, id: &MachineId, listed: &BTreeSet<TaskId>) {
-        let Some(m) = self.machines.get(id) else { return };
+        let Some(m) = self.machines.get(id) else {
+            return;
+        };
         let in_flight = m.direct.is_some();
         let absent: Vec<TaskId> = m.tasks.difference(listed).cloned().collect();
         for task in absent {
-            let Some(live) =
-                self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index))
+            let Some(live) = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index))
             else {
                 continue;
             };
             match live.phase {
                 Phase::Placed | Phase::Ready if live.stop.is_none() || live.doubt => {}
-                Phase::Placed | Phase::Ready => self.over(&task.job, task.index, Outcome::Lost, now),
+                Phase::Placed | Phase::Ready => {
+                    self.over(&task.job, task.index, Outcome::Lost, now)
+                }
                 Phase::Sent if in_flight => {}
                 // Not executed, and the answer that carried it can't be any
                 // more: send it again. The same attempt starts but once.
@@ -272,7 +320,9 @@
     pub(crate) fn compose(&mut self, id: &MachineId) -> (Vec<Command>, Vec<TaskId>) {
         let mut commands = Vec::new();
         let mut starts = Vec::new();
-        let Some(m) = self.machines.get_mut(id) else { return (commands, starts) };
+        let Some(m) = self.machines.get_mut(id) else {
+            return (commands, starts);
+        };
         m.push = false;
         let stop = |task: &TaskId, attempt, grace_s| Command::Stop {
             task: task.to_string(),
@@ -306,11 +356,15 @@
                 m.push = true;
                 break;
             }
-            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+            let Some(job) = self.jobs.get_mut(&task.job) else {
+                continue;
+            };
             if job.cancelled || !job.stored_started.contains(task.index) {
                 continue;
             }
-            let Some(live) = job.live.get_mut(&task.index) else { continue };
+            let Some(live) = job.live.get_mut(&task.index) else {
+                continue;
+            };
             if live.stop.is_none() && matches!(live.phase, Phase::Placed | Phase::Ready) {
                 live.phase = Phase::Sent;
                 commands.push(Command::Start { task: task.to_string(), attempt: live.attempt });
@@ -338,7 +392,9 @@
             if self.directs.len() >= DIRECT_MAX {
                 break;
             }
-            let Some(session) = self.machines.get(&id).map(|m| m.session) else { continue };
+            let Some(session) = self.machines.get(&id).map(|m| m.session) else {
+                continue;
+            };
             let (commands, starts) = self.compose(&id);
             if !commands.is_empty() {
                 self.send_direct(&id, session, commands, starts, out);
@@ -354,7 +410,9 @@
         starts: Vec<TaskId>,
         out: &mut Out,
     ) {
-        let Some(m) = self.machines.get_mut(id) else { return };
+        let Some(m) = self.machines.get_mut(id) else {
+            return;
+        };
         let op = out.op();
         m.direct = Some(op);
         out.actions.push(Action::Direct {
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -188,8 +188,11 @@
                 continue;
             };
             let cancelled = job.cancelled;
-            let over =
-                if cancelled { job.live.is_empty() && job.limbo.is_empty() } else { job.complete() };
+            let over = if cancelled {
+                job.live.is_empty() && job.limbo.is_empty()
+            } else {
+                job.complete()
+            };
             if !over || job.closing {
                 self.writer.closing.remove(&id);
                 continue;
@@ -243,7 +246,8 @@
         entries: &mut Vec<Entry>,
     ) {
         let names: String = self.hire.types.iter().map(|t| format!("{} ", t.name)).collect();
-        if self.hire.types.is_empty() || self.writer.types_key == names || txn.writes.len() >= room {
+        if self.hire.types.is_empty() || self.writer.types_key == names || txn.writes.len() >= room
+        {
             return;
         }
         self.writer.types_key = names;
@@ -260,7 +264,13 @@
     }
 
     /// A transaction or a read of ours was answered. False: we don't lead.
-    pub(crate) fn written(&mut self, now: Secs, op: OpId, result: StoreResult, out: &mut Out) -> bool {
+    pub(crate) fn written(
+        &mut self,
+        now: Secs,
+        op: OpId,
+        result: StoreResult,
+        out: &mut Out,
+    ) -> bool {
         if self.writer.reading == Some(op) {
             self.writer.reading = None;
             match result {
@@ -274,7 +284,9 @@
             }
             return true;
         }
-        let Some((running, entries)) = self.writer.running.take() else { return true };
+        let Some((running, entries)) = self.writer.running.take() else {
+            return true;
+        };
         if running != op {
             self.writer.running = Some((running, entries));
             return true;
@@ -286,7 +298,9 @@
                 }
                 self.push_direct(now, out);
             }
-            StoreResult::Conflict(keys) if keys.iter().any(|k| k == records::LEADER) => return false,
+            StoreResult::Conflict(keys) if keys.iter().any(|k| k == records::LEADER) => {
+                return false;
+            }
             // Not executed: as it was.
             StoreResult::Refused => {
                 self.writer.next = now + STORE_RETRY_S;
@@ -330,7 +344,9 @@
     fn entry_written(&mut self, now: Secs, entry: Entry, version: u64) {
         match entry {
             Entry::Part { job, part, started, finished } => {
-                let Some(j) = self.jobs.get_mut(&job) else { return };
+                let Some(j) = self.jobs.get_mut(&job) else {
+                    return;
+                };
                 j.parts[part as usize] = version;
                 merge(&mut j.stored_started, &started, part);
                 merge(&mut j.stored_finished, &finished, part);
@@ -370,7 +386,9 @@
                 m.push = true;
             }
         }
-        let Some(job) = self.jobs.remove(id) else { return };
+        let Some(job) = self.jobs.remove(id) else {
+            return;
+        };
         self.writer.closed.push_back((id.clone(), job.spec_version));
         if self.writer.closed.len() > FINALS_KEPT {
             self.writer.closed.pop_front();
--- a/crates/proto/src/cbor.rs
+++ b/crates/proto/src/cbor.rs
@@ -17,11 +17,7 @@
     let mut rest = bytes;
     let value = ciborium::de::from_reader_with_recursion_limit(&mut rest, MAX_DEPTH)
         .map_err(|e| CborError(e.to_string()))?;
-    if rest.is_empty() {
-        Ok(value)
-    } else {
-        Err(CborError("trailing bytes".into()))
-    }
+    if rest.is_empty() { Ok(value) } else { Err(CborError("trailing bytes".into())) }
 }
 
 /// Encodes a body. Our types hold nothing that CBOR can't express.
--- a/crates/proto/src/ids.rs
+++ b/crates/proto/src/ids.rs
@@ -59,9 +59,8 @@
 impl JobId {
     /// Whether a job id has the one form that users give it.
     pub fn well_formed(s: &str) -> bool {
-        s.strip_prefix("req-").is_some_and(|d| {
-            (1..=20).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit())
-        })
+        s.strip_prefix("req-")
+            .is_some_and(|d| (1..=20).contains(&d.len()) && d.bytes().all(|b| b.is_ascii_digit()))
     }
 }
 
--- a/crates/proto/src/job.rs
+++ b/crates/proto/src/job.rs
@@ -19,6 +19,10 @@
     /// Independent tasks, each runs to completion.
     #[serde(rename = "sweep")]
     Array,
+    /// Tasks that only run all together. The protocol page has no paragraph on
+    /// them, but the design, `fleetbench wire` and `fleetbench real` know them.
+    #[serde(rename = "gang")]
+    Gang,
     /// Replicas that run until cancelled.
     #[serde(rename = "daemon")]
     Service,
@@ -205,14 +209,27 @@
         let t = |s: &str| Value::Text(s.into());
         let f = Value::Float;
         [
-            ("ref", t("req-000412")), ("lot", t("train")), ("crew", t("vision")),
-            ("shape", t("sweep")), ("rank", t("high")), ("pieces", Value::from(16)),
-            ("vcpus", f(8.0)), ("cards", Value::from(1)), ("mem_gb", f(64.0)),
-            ("mould", t("img-07")), ("size_gb", f(6.2)),
-            ("builds", Value::Array(vec![t("g8")])), ("quarter", Value::Null),
-            ("together", Value::Bool(true)), ("spread", Value::Bool(false)),
-            ("loaners", Value::Bool(true)), ("guess_s", f(240.0)), ("mark_s", f(30.0)),
-            ("stow_s", f(4.0)), ("due_s", f(900.0)), ("unheard_of", t("x")),
+            ("ref", t("req-000412")),
+            ("lot", t("train")),
+            ("crew", t("vision")),
+            ("shape", t("sweep")),
+            ("rank", t("high")),
+            ("pieces", Value::from(16)),
+            ("vcpus", f(8.0)),
+            ("cards", Value::from(1)),
+            ("mem_gb", f(64.0)),
+            ("mould", t("img-07")),
+            ("size_gb", f(6.2)),
+            ("builds", Value::Array(vec![t("g8")])),
+            ("quarter", Value::Null),
+            ("together", Value::Bool(true)),
+            ("spread", Value::Bool(false)),
+            ("loaners", Value::Bool(true)),
+            ("guess_s", f(240.0)),
+            ("mark_s", f(30.0)),
+            ("stow_s", f(4.0)),
+            ("due_s", f(900.0)),
+            ("unheard_of", t("x")),
         ]
         .into_iter()
         .map(|(k, v)| (t(k), v))
--- a/crates/proto/src/wire.rs
+++ b/crates/proto/src/wire.rs
@@ -44,6 +44,9 @@
     /// Waits for its image.
     #[serde(rename = "pulling")]
     Fetching,
+    /// A gang's task that has its image and waits for the others.
+    #[serde(rename = "gathering")]
+    Waiting,
     /// Runs.
     #[serde(rename = "running")]
     Running,
@@ -79,6 +82,12 @@
     /// Refused: no such job.
     #[serde(rename = "no_such")]
     Unknown,
+    /// Another task of its gang went.
+    #[serde(rename = "mates_gone")]
+    Peers,
+    /// The others of its gang didn't come in time.
+    #[serde(rename = "incomplete")]
+    Alone,
     /// Something newer than this program.
     #[serde(other)]
     Other,
@@ -479,18 +488,31 @@
     /// Integers where amounts are meant, an unknown state, unknown fields.
     fn serde_value() -> Value {
         let t = |s: &str| Value::Text(s.into());
-        let map = |v: Vec<(&str, Value)>| {
-            Value::Map(v.into_iter().map(|(k, v)| (t(k), v)).collect())
-        };
+        let map =
+            |v: Vec<(&str, Value)>| Value::Map(v.into_iter().map(|(k, v)| (t(k), v)).collect());
         let task = |stage: &str, cause: Value| {
-            map(vec![("piece", t("req-1/3")), ("try", Value::from(2)), ("stage", t(stage)), ("cause", cause)])
+            map(vec![
+                ("piece", t("req-1/3")),
+                ("try", Value::from(2)),
+                ("stage", t(stage)),
+                ("cause", cause),
+            ])
         };
         map(vec![
-            ("barrow", t("n-1")), ("addr", t("10.1.0.2:9000")), ("build", t("g8")),
-            ("quarter", t("a")), ("loaners", Value::Bool(true)), ("shift", Value::from(1)),
-            ("tally", Value::from(88)), ("baton", Value::from(41)), ("warning_s", Value::from(7)),
+            ("barrow", t("n-1")),
+            ("addr", t("10.1.0.2:9000")),
+            ("build", t("g8")),
+            ("quarter", t("a")),
+            ("loaners", Value::Bool(true)),
+            ("shift", Value::from(1)),
+            ("tally", Value::from(88)),
+            ("baton", Value::from(41)),
+            ("warning_s", Value::from(7)),
             ("new_field", Value::Null),
-            ("pieces", Value::Array(vec![task("gathering", Value::Null), task("ended", t("done"))])),
+            (
+                "pieces",
+                Value::Array(vec![task("something_new", Value::Null), task("ended", t("done"))]),
+            ),
         ])
     }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -130,7 +130,8 @@
     let table: toml::Table =
         toml::from_str(&text).map_err(|e| format!("{}: {}", file.display(), e.message()))?;
     let body = marblebarrow_proto::cbor::encode(&table);
-    marblebarrow_proto::job::JobSpec::parse(&body).map_err(|e| format!("{}: {e}", file.display()))?;
+    marblebarrow_proto::job::JobSpec::parse(&body)
+        .map_err(|e| format!("{}: {e}", file.display()))?;
     Ok(body)
 }
 
--- a/src/http.rs
+++ b/src/http.rs
@@ -271,10 +271,8 @@
         body: &[u8],
         timeout: Duration,
     ) -> Result<(u16, Vec<u8>), CallError> {
-        let kept = self
-            .conn
-            .take()
-            .filter(|(conn, used)| used.elapsed() < STALE_AFTER || !conn.stale());
+        let kept =
+            self.conn.take().filter(|(conn, used)| used.elapsed() < STALE_AFTER || !conn.stale());
         let mut conn = match kept {
             Some((conn, _)) => conn,
             None => TcpStream::connect_timeout(&self.addr, CONNECT_TIME)
--- a/src/links.rs
+++ b/src/links.rs
@@ -113,12 +113,10 @@
     };
     match (req, status) {
         (_, 429 | 503) => StoreResult::Refused,
-        (StoreRequest::Commit(_), 200) => {
-            cbor::decode::<TxnAnswer>(&body).map_or(StoreResult::Unknown, |a| StoreResult::Committed(a.revision))
-        }
-        (StoreRequest::Commit(_), 409) => {
-            cbor::decode::<TxnAnswer>(&body).map_or(StoreResult::Unknown, |a| StoreResult::Conflict(a.failed))
-        }
+        (StoreRequest::Commit(_), 200) => cbor::decode::<TxnAnswer>(&body)
+            .map_or(StoreResult::Unknown, |a| StoreResult::Committed(a.revision)),
+        (StoreRequest::Commit(_), 409) => cbor::decode::<TxnAnswer>(&body)
+            .map_or(StoreResult::Unknown, |a| StoreResult::Conflict(a.failed)),
         (StoreRequest::Get(_), 200) => {
             cbor::decode(&body).map_or(StoreResult::Unknown, |i| StoreResult::Value(Some(i)))
         }
@@ -156,7 +154,9 @@
     let mut first = None;
     loop {
         let req = StoreRequest::Range { prefix: WATCHED.into(), after };
-        let StoreResult::Page(page) = store_call(client, &req) else { return Err(()) };
+        let StoreResult::Page(page) = store_call(client, &req) else {
+            return Err(());
+        };
         // Changes made while the pages are read come with the watch.
         first.get_or_insert(page.revision);
         after = page.items.last().map_or_else(String::new, |i| i.key.clone());
@@ -273,7 +273,9 @@
         commands: Vec<Command>,
     ) -> Option<Event> {
         let failed = Some(Event::Direct(op, DirectResult::NotSent));
-        let Ok(addr) = addr.parse::<SocketAddr>() else { return failed };
+        let Ok(addr) = addr.parse::<SocketAddr>() else {
+            return failed;
+        };
         let mut message = (op, DirectCommands { token, session, commands });
         if let Some(tx) = self.threads.get(&addr) {
             match tx.try_send(message) {
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -123,9 +123,8 @@
             let submission =
                 |m: &Message| matches!(m, Message::Ask(Ask::User(UserRequest::Submit(_)), _));
             let (submissions, others): (Vec<_>, Vec<_>) = batch.into_iter().partition(submission);
-            let wall_ms = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .map_or(0, |d| d.as_millis() as u64);
+            let wall_ms =
+                SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
             for m in others.into_iter().chain(submissions) {
                 let event = self.event(m);
                 let now = self.now();
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -44,7 +44,9 @@
         listener.set_nonblocking(true)?;
         crate::links::spawn("peers", move || {
             runtime.block_on(async move {
-                let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+                let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+                    return;
+                };
                 let incoming = tonic::transport::server::TcpIncoming::from(listener);
                 tokio::spawn(
                     tonic::transport::Server::builder()
--- a/src/server.rs
+++ b/src/server.rs
@@ -3,7 +3,7 @@
 
 use crate::http::{Conn, ReadError, Request};
 use crate::limits::*;
-use crate::owner::{Inbox, Ask};
+use crate::owner::{Ask, Inbox};
 use marblebarrow_core::event::{Answer, UserRequest};
 use marblebarrow_proto::cbor;
 use marblebarrow_proto::ids::JobId;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -130,8 +130,7 @@
             field: field.to_owned(),
             reason,
         };
-        let text =
-            std::fs::read_to_string(path).map_err(|e| error("(file)", e.to_string()))?;
+        let text = std::fs::read_to_string(path).map_err(|e| error("(file)", e.to_string()))?;
         Self::parse(&text).map_err(|(field, reason)| error(&field, reason))
     }
 
@@ -156,7 +155,10 @@
         for t in &f.teams {
             for n in [t.cpus, t.cpus_max, t.gpus, t.gpus_max] {
                 if !n.is_finite() || n < 0.0 {
-                    return Err(("facts.teams".into(), format!("{n} of {} is not an amount", t.name)));
+                    return Err((
+                        "facts.teams".into(),
+                        format!("{n} of {} is not an amount", t.name),
+                    ));
                 }
             }
         }
@@ -170,9 +172,7 @@
             .objectives
             .iter()
             .filter(|o| o.kind == "wait")
-            .filter_map(|o| {
-                Some(WaitAim { class: o.class.clone()?, within_s: o.within_s? })
-            })
+            .filter_map(|o| Some(WaitAim { class: o.class.clone()?, within_s: o.within_s? }))
             .collect();
         let facts = Facts {
             node: NodeId::new(&raw.node),
