--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -45,9 +45,24 @@
 pub const STORE_BAD_AFTER: u32 = 2;
 /// A controller without other traffic looks at the store this often, seconds.
 pub const STORE_PROBE_S: f64 = 1.0;
-/// Share of the store's change rate that the leader's records may take; the
-/// rest is for submissions and cancels at any controller.
+/// Share of the store's change rate that the leader's records may always take;
+/// the rest is for submissions and cancels at any controller.
 pub const LEADER_WRITE_SHARE: f64 = 0.6;
+/// The share they may take while users leave theirs unused.
+pub const LEADER_WRITE_MAX: f64 = 0.9;
+/// Users' changes are averaged over this long, seconds.
+pub const USER_RATE_S: f64 = 5.0;
+/// Finished tasks gather for this long before they are written, seconds: only
+/// their machines' lists wait for it, and a job's end carries all of them.
+pub const FINISH_LAZY_S: f64 = 1.5;
+/// Images and machines gone gather for so long, seconds.
+pub const BLOCK_LAZY_S: f64 = 4.0;
+/// A job's end is written before all else when it waited this long, seconds:
+/// users may be told three seconds late.
+pub const CLOSE_LATEST_S: f64 = 1.0;
+/// Machines whose records are written together: about 250 bytes each, so a
+/// block stays below the smallest value limit (8 KiB).
+pub const BLOCK_MACHINES: usize = 24;
 /// Share of the store's request rate for the checks behind polls, over all
 /// controllers.
 pub const POLL_CHECK_SHARE: f64 = 0.3;
@@ -111,8 +126,22 @@
 /// After a direct command failed, reports carry the commands for this long,
 /// seconds.
 pub const DIRECT_BACKOFF_S: f64 = 3.0;
-/// Direct commands under way at once, over all machines.
-pub const DIRECT_MAX: usize = 24;
+/// Direct commands under way at once, over all machines: each takes a thread
+/// and a socket, and a silent machine holds both for two seconds.
+pub const DIRECT_MAX: usize = 40;
+/// A worker drops an answer that comes later than this after it sent its
+/// report, seconds (protocol page).
+pub const WORKER_DROPS_S: f64 = 4.0;
+/// A worker that got no answer sends its next report no sooner than this after
+/// the last, seconds (protocol page: 4 s, then 1 s).
+pub const WORKER_GIVES_UP_S: f64 = 5.0;
+/// Margin on either, seconds: clocks, and the way through our queue.
+pub const WORKER_MARGIN_S: f64 = 0.2;
+/// A machine that hasn't proven for this many report intervals, and a worker's
+/// patience, that our words reach it, gets no new tasks.
+pub const REACH_REPORTS: f64 = 2.0;
+/// After so much of that time it is asked directly.
+pub const HAIL_SHARE: f64 = 0.6;
 /// Commands in one message: an answer stays far below 64 KiB.
 pub const COMMANDS_MAX: usize = 200;
 /// Task failures on a machine, with no success between, after which it gets no
@@ -167,6 +196,12 @@
 pub const GUARANTEE_LOSS_S: f64 = 10.0;
 /// Least time between two placement passes, seconds.
 pub const PLACE_EVERY_S: f64 = 0.04;
+/// And per machine known, seconds: a pass looks at all of them, while a machine
+/// that comes free is filled at once, by itself.
+pub const PLACE_PER_MACHINE_S: f64 = 0.000_25;
+/// How often all machines are looked over for leases, notices and silence,
+/// seconds.
+pub const SWEEP_EVERY_S: f64 = 0.2;
 /// A placement pass without cause, seconds: backoffs end, slack shrinks.
 pub const PLACE_IDLE_S: f64 = 0.5;
 
@@ -207,11 +242,16 @@
 pub const GATHER_SHARE: f64 = 0.5;
 /// Machines in one rental request (protocol page).
 pub const RENT_MAX: u32 = 50;
-/// Machines that one round of renting plans at most: capacity shows only when
-/// it is asked for, and a wrong guess costs a minute each.
+/// Machines that one round of renting plans at most, if the fleet is small:
+/// capacity shows only when it is asked for, and a wrong guess costs a minute
+/// each.
 pub const PLAN_MAX: usize = 24;
+/// And as a share of the tasks that find no room, if many do.
+pub const PLAN_SHARE: f64 = 0.125;
+/// Idle machines returned in one round, as a share of those that may go.
+pub const RETURN_SHARE: f64 = 0.15;
 /// Machines in one release (protocol page: 100).
-pub const RELEASE_MAX: usize = 50;
+pub const RELEASE_MAX: usize = 100;
 /// How long a released machine's name is remembered, in list lags.
 pub const TOMB_LAGS: f64 = 20.0;
 /// Part of the cloud's request rate that is used.
@@ -220,6 +260,8 @@
 pub const CLOUD_RETRY_S: f64 = 1.0;
 /// Arrivals are averaged over this long, seconds, for the warm reserve.
 pub const RATE_WINDOW_S: f64 = 60.0;
+/// Tasks of one service that count as arrivals: one job of thousands is no rate.
+pub const ARRIVAL_TASKS_MAX: u32 = 16;
 /// Spare service places kept, as a multiple of the arrivals expected while a
 /// machine boots and fetches.
 pub const WARM_FACTOR: f64 = 1.5;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -7,24 +7,21 @@
 use marblebarrow_proto::wire::{MachineType, Why};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Whether a machine's record is in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Recorded {
-    /// No.
-    No,
-    /// Yes, at this version.
-    Yes(u64),
-}
-
 /// A machine that was heard of.
 #[derive(Debug)]
 pub struct Machine {
     /// What is recorded of it.
     pub info: MachineRecord,
-    /// Whether it is recorded.
-    pub recorded: Recorded,
-    /// Whether the record is out of date.
-    pub dirty: bool,
+    /// Whether its record is surely in the store.
+    pub recorded: bool,
+    /// The block of records it belongs to, once it is to be recorded.
+    pub block: Option<u32>,
+    /// Its size, rate of fetches (GB/s) and cache (GB), as its type says.
+    pub size: [f64; 3],
+    /// Image fetch rate, GB/s.
+    pub fetch_rate: f64,
+    /// Image cache, GB.
+    pub cache_gb: f64,
     /// Its worker's session; 0: unknown.
     pub session: u64,
     /// Newest message's number within the session.
@@ -35,6 +32,17 @@
     pub heard: Option<Secs>,
     /// When anybody may last have answered it: its lease counts from here.
     pub answered: Secs,
+    /// The number of its newest report of its own (answers to direct commands
+    /// left out): an older one is a late copy, and its sender has given it up.
+    pub reported: u64,
+    /// When that came.
+    pub last_report: Option<Secs>,
+    /// When it last proved that our words reach it. Its reports alone don't:
+    /// they may arrive while nothing arrives there.
+    pub reached: Option<Secs>,
+    /// It is to be sent an order though there is nothing to do, to learn
+    /// whether it hears us and what it runs.
+    pub hail: bool,
     /// All that it may run is known: it reported under this term.
     pub confirmed: bool,
     /// Its tasks outlived their lease, in this session.
@@ -86,13 +94,20 @@
         let images = info.images.iter().map(|i| (i.clone(), 0.0)).collect();
         Self {
             info,
-            recorded: Recorded::No,
-            dirty: false,
+            recorded: false,
+            block: None,
+            size: [0.0; 3],
+            fetch_rate: 0.0,
+            cache_gb: f64::INFINITY,
             session: 0,
             seq: 0,
             token: 0,
             heard: None,
             answered: now,
+            reported: 0,
+            last_report: None,
+            reached: None,
+            hail: false,
             confirmed: false,
             lapsed: None,
             cordoned: false,
@@ -120,15 +135,31 @@
     /// Whether new tasks may go there.
     pub fn usable(&self, now: Secs, report_s: f64) -> bool {
         self.heard.is_some_and(|h| now - h < report_s * SILENT_REPORTS)
+            && self.hears(now, report_s)
+            && self.confirmed
             && self.lapsed.is_none()
             && !self.cordoned
             && !self.releasing
             && self.notice.is_none()
     }
 
-    /// What is free of a type.
-    pub fn free(&self, t: &MachineType) -> [f64; 3] {
-        [t.cpus - self.used[0], t.gpus - self.used[1], t.memory_gb - self.used[2]]
+    /// Whether our words reached it lately.
+    pub fn hears(&self, now: Secs, report_s: f64) -> bool {
+        self.reached.is_some_and(|at| now - at < report_s * REACH_REPORTS + WORKER_GIVES_UP_S)
+    }
+
+    /// What its type says of it. Unknown types have no room.
+    pub fn learn_type(&mut self, t: Option<&MachineType>) {
+        if let Some(t) = t {
+            self.size = [t.cpus, t.gpus, t.memory_gb];
+            self.fetch_rate = t.fetch_gb_per_s;
+            self.cache_gb = t.cache_gb;
+        }
+    }
+
+    /// What is free.
+    pub fn free(&self) -> [f64; 3] {
+        std::array::from_fn(|i| self.size[i] - self.used[i])
     }
 
     /// Whether it holds an image.
@@ -138,7 +169,7 @@
 
     /// Seconds until an image should be there: fetches at the same time share
     /// the rate, so a second one ends after the first.
-    pub fn fetch_time(&self, image: &str, gb: f64, rate: f64, now: Secs) -> f64 {
+    pub fn fetch_time(&self, image: &str, gb: f64, now: Secs) -> f64 {
         if self.has_image(image) {
             return 0.0;
         }
@@ -146,32 +177,36 @@
             return (at - now).max(0.5);
         }
         let busy = self.fetching.values().map(|at| at - now).fold(0.0, f64::max);
-        busy + gb / rate.max(1e-3)
+        busy + gb / self.fetch_rate.max(1e-3)
     }
 
     /// A task that needs this image was sent there.
-    pub fn expect_image(&mut self, image: &str, gb: f64, rate: f64, now: Secs) {
+    pub fn expect_image(&mut self, image: &str, gb: f64, now: Secs) {
         if !self.has_image(image) && !self.fetching.contains_key(image) {
-            let at = now + self.fetch_time(image, gb, rate, now);
+            let at = now + self.fetch_time(image, gb, now);
             self.fetching.insert(image.to_owned(), at);
         }
     }
 
     /// A task of this image was seen running: the image is there, as the most
-    /// recently used. Those that no longer fit the cache are gone.
-    pub fn touch_image(&mut self, image: &str, gb: f64, cache_gb: f64) {
+    /// recently used. Those that no longer fit the cache are gone. True if its
+    /// record is out of date by that.
+    pub fn touch_image(&mut self, image: &str, gb: f64) -> bool {
         self.fetching.remove(image);
+        if self.images.last().is_some_and(|(i, _)| i == image) {
+            return false;
+        }
         let new = !self.has_image(image);
         self.images.retain(|(i, _)| i != image);
         self.images.push((image.to_owned(), gb));
         let mut total: f64 = self.images.iter().map(|i| i.1).sum();
-        while total > cache_gb && self.images.len() > 1 {
+        while total > self.cache_gb && self.images.len() > 1 {
             total -= self.images.remove(0).1;
         }
         if new {
             self.info.images = self.images.iter().map(|i| i.0.clone()).collect();
-            self.dirty = self.recorded != Recorded::No;
         }
+        new && self.block.is_some()
     }
 }
 
--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -16,8 +16,6 @@
         let lag = self.facts.list_lag_s;
         let boots: BTreeMap<&str, f64> =
             self.hire.types.iter().map(|t| (t.name.as_str(), t.boot_s)).collect();
-        let rates: BTreeMap<&str, f64> =
-            self.hire.types.iter().map(|t| (t.name.as_str(), t.fetch_gb_per_s.max(1e-3))).collect();
         let mut give_up = Vec::new();
         let mut vanished = Vec::new();
         for (id, b) in &self.hire.booting {
@@ -53,17 +51,21 @@
             });
             // Recorded and never heard in this term counts from taking office:
             // such a machine held up recovery for a whole lease.
-            let silent = now - m.heard.unwrap_or(office_at) > gone;
+            // (What is heard of an unconfirmed one may be late copies.)
+            let silent = now - m.heard.filter(|_| m.confirmed).unwrap_or(office_at) > gone;
             // An ordinary machine may be cut and its replicas serve on; but if
             // it was never heard in this term, its lease is mostly over by now.
-            let given_up = m.info.spot || m.heard.is_none();
+            let given_up = m.info.spot || !m.confirmed;
             if silent && heard_lately && given_up && m.lapsed.is_none() && !m.releasing {
                 self.log.push(format!("event=silent machine={id} spot={}", m.info.spot));
                 m.releasing = true;
                 self.hire.release.insert(id.clone());
             }
             let back_by = self.facts.lease_s + LAPSED_KEPT_S;
-            if m.lapsed.is_some() && now - m.answered > back_by {
+            // Heard, but nothing reaches it: its lease runs out all the same.
+            let since = m.reached.unwrap_or(m.first_heard).max(office_at);
+            let deaf = now - since > back_by;
+            if m.lapsed.is_some() && now - m.answered > back_by || deaf && m.heard.is_some() {
                 // Silent past its lease. Should it be back by then, it will
                 // have nothing on it that counts.
                 m.cordoned = true;
@@ -81,7 +83,7 @@
                 m.releasing = true;
                 self.hire.release.insert(id.clone());
             }
-            let rate = rates.get(m.info.kind.as_str()).copied().unwrap_or(f64::INFINITY);
+            let rate = m.fetch_rate.max(1e-3);
             let fetches = m.images.iter().map(|(_, gb)| gb / rate).sum::<f64>();
             let patience = if m.info.spot { IDLE_SPOT_S } else { self.facts.tuning.idle_s }
                 + fetches.min(IDLE_IMAGES_S);
@@ -100,18 +102,24 @@
         if self.recovering || idle.is_empty() {
             return;
         }
-        // One a round, dearest kind first, unless it is wanted warm.
+        // A few a round, dearest kind first, unless they are wanted warm.
         idle.sort();
+        let mut most = (idle.len() as f64 * RETURN_SHARE).ceil() as usize;
         for (spot, _, id) in idle {
+            if most == 0 {
+                break;
+            }
             if !spot && !self.warm_without(now, &id) {
+                // Those after it are alike: all are tried in rounds to come.
+                most -= 1;
                 continue;
             }
+            most -= 1;
             if let Some(m) = self.machines.get_mut(&id) {
                 m.cordoned = true;
                 m.releasing = true;
             }
             self.hire.release.insert(id);
-            break;
         }
     }
 
@@ -153,10 +161,7 @@
                 s.kind == Kind::Service && !s.spread && !s.one_zone && ripe
             })
         };
-        let share = |m: &Machine| {
-            let t = self.hire.types.iter().find(|t| t.name == m.info.kind)?;
-            Some(m.used[0] / t.cpus.max(1e-3))
-        };
+        let share = |m: &Machine| m.used[0] / m.size[0].max(1e-3);
         self.machines
             .iter()
             .filter(|(_, m)| {
@@ -166,7 +171,8 @@
                     && m.usable(now, self.facts.report_s)
                     && m.tasks.iter().all(movable)
             })
-            .filter_map(|(id, m)| Some((share(m).filter(|s| *s <= GATHER_SHARE)?, id)))
+            .map(|(id, m)| (share(m), id))
+            .filter(|(s, _)| *s <= GATHER_SHARE)
             .min_by(|a, b| a.0.total_cmp(&b.0))
             .map(|(_, id)| id.clone())
     }
@@ -181,10 +187,7 @@
             .filter(|(o, om)| {
                 *o != id && !om.info.spot && om.services > 0 && om.usable(now, self.facts.report_s)
             })
-            .filter_map(|(_, om)| {
-                let t = self.hire.types.iter().find(|t| t.name == om.info.kind)?;
-                Some((om, om.free(t)))
-            })
+            .map(|(_, om)| (om, om.free()))
             .collect();
         m.tasks.iter().all(|task| {
             let Some(spec) = self.jobs.get(&task.job).map(|j| j.spec()) else { return false };
@@ -229,14 +232,15 @@
         }
     }
 
-    /// Takes back a start that never left, e.g. as its machine got a notice.
-    pub(crate) fn unplace_noticed(&mut self, now: Secs) {
+    /// Takes back starts that never left, as their machine got a notice or
+    /// doesn't hear us.
+    pub(crate) fn unplace(&mut self, now: Secs) {
         let mut back = Vec::new();
-        for m in self.machines.values().filter(|m| m.notice.is_some() || m.cordoned) {
+        let hears = |m: &Machine| m.hears(now, self.facts.report_s);
+        for m in self.machines.values().filter(|m| m.notice.is_some() || m.cordoned || !hears(m)) {
             for task in &m.tasks {
                 let live = self.jobs.get(&task.job).and_then(|j| j.live.get(&task.index));
-                if live.is_some_and(|l| matches!(l.phase, Phase::Placed | Phase::Ready) && !l.doubt)
-                {
+                if live.is_some_and(|l| l.never_sent(now)) {
                     back.push(task.clone());
                 }
             }
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -99,11 +99,6 @@
         }
     }
 
-    /// Image cache of a type.
-    pub(crate) fn cache_gb(&self, kind: &str) -> f64 {
-        self.types.iter().find(|t| t.name == kind).map_or(f64::INFINITY, |t| t.cache_gb)
-    }
-
     /// A machine reported: it is up.
     pub(crate) fn heard(&mut self, id: &MachineId) {
         self.booting.remove(id);
@@ -119,7 +114,7 @@
             .entry(spec.class.clone())
             .or_insert_with(|| ServiceClass { shape: spec.clone(), arrivals: Vec::new() });
         class.shape = spec.clone();
-        class.arrivals.push(now);
+        class.arrivals.extend((0..spec.tasks.min(ARRIVAL_TASKS_MAX)).map(|_| now));
     }
 
     pub(crate) fn afford(&mut self) -> bool {
@@ -142,6 +137,7 @@
             && let Some(types) = &replica.types
         {
             h.types.clone_from(types);
+            self.learn_types();
             self.place_due = true;
         }
         let h = &mut self.hire;
@@ -155,8 +151,8 @@
         }
         if !h.listing && now >= h.next_list && h.afford() {
             h.listing = true;
-            h.list.clear();
-            let op = out.cloud(CloudRequest::List { after: None });
+            let after = h.list.last().map(|l| l.machine.clone());
+            let op = out.cloud(CloudRequest::List { after });
             h.pending.insert(op, Pending::List);
         }
         // An unanswered rental is asked again under its name, which rents once.
@@ -184,10 +180,7 @@
         let mut parts = Vec::new();
         for spot in [false, true] {
             let of = || self.machines.values().filter(move |m| m.info.spot == spot);
-            let total: f64 = of()
-                .filter_map(|m| self.hire.types.iter().find(|t| t.name == m.info.kind))
-                .map(|t| t.cpus)
-                .sum();
+            let total: f64 = of().map(|m| m.size[0]).sum();
             let used: f64 = of().map(|m| m.used[0]).sum();
             let idle = of().filter(|m| m.tasks.is_empty()).count();
             let booting = self.hire.booting.values().filter(|b| b.spot == spot).count();
@@ -214,19 +207,28 @@
                 h.types = types;
                 h.types_asked = false;
                 h.next_types = now + TYPES_EVERY_S;
+                self.learn_types();
                 self.place_due = true;
             }
             (Pending::Types, _) => h.types_asked = false,
             (Pending::List, CloudResult::List(list)) => {
                 h.listing = false;
+                let more = list.more && !list.machines.is_empty();
                 h.list.extend(list.machines);
-                // Longer fleets than a page are read on in the next round.
+                if more {
+                    // The next page follows at once.
+                    h.next_list = now;
+                    return;
+                }
                 h.next_list = now + LIST_EVERY_S;
                 h.listed_once = true;
                 let listed = std::mem::take(&mut h.list);
                 self.listed(now, listed);
             }
-            (Pending::List, _) => h.listing = false,
+            (Pending::List, _) => {
+                h.listing = false;
+                h.list.clear();
+            }
             (Pending::Rent(rent), CloudResult::Rented(names)) => {
                 h.renting -= 1;
                 self.log.push(format!(
@@ -282,11 +284,11 @@
         let life = self.facts.list_lag_s * TOMB_LAGS;
         self.tombs.retain(|_, at| now - *at < life);
         self.lose_tasks(id, now);
-        for job in self.jobs.values_mut() {
-            job.machines.remove(id);
-        }
         if let Some(m) = self.machines.remove(id) {
-            self.writer.machine_gone(id, m.recorded);
+            for job in self.jobs.values_mut() {
+                job.machines.remove(m.info.number);
+            }
+            self.writer.machine_gone(id, m.block, now);
         }
         self.place_due = true;
         self.log.push(format!("event=released machine={id} term={}", self.term.0));
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -43,6 +43,20 @@
     pub doubt: bool,
     /// It is to stop, with this much time to save.
     pub stop: Option<f64>,
+    /// When an answer to a report last carried its start.
+    pub sent: Option<Secs>,
+}
+
+impl Live {
+    /// Whether it surely doesn't run and no start of it is on its way. (A newer
+    /// list without it is not enough: an answer that carries its start may
+    /// still be on its way behind a direct command's. Tasks moved on such a
+    /// list once ran twice.)
+    pub fn never_sent(&self, now: Secs) -> bool {
+        matches!(self.phase, Phase::Placed | Phase::Ready)
+            && !self.doubt
+            && self.sent.is_none_or(|at| now > at + WORKER_DROPS_S + WORKER_MARGIN_S)
+    }
 }
 
 /// Why a task came to an end.
@@ -75,10 +89,10 @@
     pub stored_started: IntSet,
     /// As `finished`, but surely in the store.
     pub stored_finished: IntSet,
-    /// Machines that its tasks may be on.
-    pub machines: BTreeSet<MachineId>,
+    /// Machines that its tasks may be on, by number.
+    pub machines: IntSet,
     /// As `machines`, but surely in the store.
-    pub stored_machines: BTreeSet<MachineId>,
+    pub stored_machines: IntSet,
     /// Version of each part's record; 0: none.
     pub parts: Vec<u64>,
     /// Attempts that run or may run.
@@ -135,8 +149,8 @@
             finished: IntSet::new(),
             stored_started: IntSet::new(),
             stored_finished: IntSet::new(),
-            machines: BTreeSet::new(),
-            stored_machines: BTreeSet::new(),
+            machines: IntSet::new(),
+            stored_machines: IntSet::new(),
             parts,
             live: BTreeMap::new(),
             limbo: BTreeSet::new(),
@@ -251,8 +265,8 @@
     }
 
     /// Takes a task as placed; records ahead a few that come next.
-    pub fn place(&mut self, n: u32, live: Live) {
-        self.machines.insert(live.machine.clone());
+    pub fn place(&mut self, n: u32, live: Live, machine: u32) {
+        self.machines.insert(machine);
         self.again.remove(&n);
         self.live.insert(n, live);
         if self.started.insert(n) && self.spec().kind == Kind::Array {
@@ -315,8 +329,8 @@
         }
     }
 
-    /// Whether the start of task `n` on that machine is recorded.
-    pub fn start_recorded(&self, n: u32, machine: &MachineId) -> bool {
+    /// Whether the start of task `n` on the machine of that number is recorded.
+    pub fn start_recorded(&self, n: u32, machine: u32) -> bool {
         self.stored_started.contains(n) && self.stored_machines.contains(machine)
     }
 
@@ -382,8 +396,9 @@
             ran_from: Some(now),
             doubt: false,
             stop: None,
+            sent: None,
         };
-        job.place(n, live);
+        job.place(n, live, 1);
     }
 
     #[test]
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -42,6 +42,13 @@
     pub(crate) tombs: BTreeMap<MachineId, Secs>,
     pub(crate) directs: HashMap<OpId, DirectSent>,
     pub(crate) next_attempt: u32,
+    /// The last machine number given out, by any leader.
+    pub(crate) next_number: u32,
+    /// Whether the last pass left work waiting, and the CPUs that the smallest
+    /// task seen takes: whether a machine that comes free is worth a look.
+    pub(crate) backlog: bool,
+    pub(crate) least_cpus: f64,
+    next_sweep: Secs,
     pub(crate) writer: Writer,
     pub(crate) hire: Hire,
     pub(crate) recovering: bool,
@@ -71,6 +78,10 @@
             tombs: BTreeMap::new(),
             directs: HashMap::new(),
             next_attempt: 0,
+            next_number: 0,
+            backlog: true,
+            least_cpus: f64::INFINITY,
+            next_sweep: 0.0,
             recovering: true,
             place_due: true,
             placed_at: 0.0,
@@ -94,15 +105,20 @@
         if self.loading.is_some() {
             return self.keep_loading(now, wall_ms, replica, out);
         }
-        self.lapse(now);
-        self.check_recovered(now);
-        self.drain_noticed(now);
-        self.unplace_noticed(now);
-        let placing = self.place_due && now >= self.placed_at + PLACE_EVERY_S;
-        if placing || now >= self.placed_at + PLACE_IDLE_S {
+        if now >= self.next_sweep {
+            self.next_sweep = now + SWEEP_EVERY_S;
+            self.lapse(now);
+            self.check_recovered(now);
+            self.drain_noticed(now);
+            self.check_reach(now);
+            self.unplace(now);
+        }
+        let pause = PLACE_EVERY_S.max(self.machines.len() as f64 * PLACE_PER_MACHINE_S);
+        let placing = self.place_due && now >= self.placed_at + pause;
+        if placing || now >= self.placed_at + PLACE_IDLE_S.max(pause) {
             self.place_due = false;
             self.placed_at = now;
-            self.place(now);
+            self.place(now, None);
         }
         self.flush(now, replica, out);
         self.hire_tick(now, replica, out);
@@ -116,8 +132,14 @@
         }
         match change {
             Change::Leader => {}
-            Change::Job(id) => self.learn_job(now, wall_ms, id, replica),
-            Change::Cut(id) => self.cut(now, id),
+            Change::Job(id) => {
+                self.writer.saw_user_changes(1.0);
+                self.learn_job(now, wall_ms, id, replica);
+            }
+            Change::Cut(id) => {
+                self.writer.saw_user_changes(2.0);
+                self.cut(now, id);
+            }
             Change::All => {
                 let ids: Vec<JobId> = replica.specs.keys().cloned().collect();
                 for id in ids {
@@ -142,8 +164,9 @@
             Job::new(record.clone(), *version, now - age, &self.facts.tuning, &mut self.rng);
         job.cancelled = replica.cuts.contains(id);
         self.hire.saw_job(now, job.spec());
+        self.least_cpus = self.least_cpus.min(job.spec().cpus);
         if job.cancelled {
-            self.writer.close(id);
+            self.writer.close(id, now);
         }
         self.jobs.insert(id.clone(), job);
         self.place_due = true;
@@ -161,8 +184,7 @@
         job.again.clear();
         let mut unsent = Vec::new();
         for (&n, live) in &mut job.live {
-            let never_sent = matches!(live.phase, Phase::Placed | Phase::Ready) && !live.doubt;
-            if never_sent {
+            if live.never_sent(now) {
                 unsent.push(n);
             } else {
                 live.stop = Some(0.0);
@@ -174,7 +196,7 @@
         for n in unsent {
             self.over(id, n, Outcome::Lost, now);
         }
-        self.writer.close(id);
+        self.writer.close(id, now);
         self.place_due = true;
     }
 
@@ -219,13 +241,13 @@
             job.limbo.insert(n);
         }
         if outcome == Outcome::Done {
-            self.writer.touch_task(id, n);
+            self.writer.touch_task(id, n, now, false);
             if job.complete() {
-                self.writer.close(id);
+                self.writer.close(id, now);
             }
         }
         if job.cancelled {
-            self.writer.close(id);
+            self.writer.close(id, now);
         }
         self.place_due = true;
     }
@@ -244,6 +266,13 @@
         }
     }
 
+    /// Machines learn their size from their type.
+    pub(crate) fn learn_types(&mut self) {
+        for m in self.machines.values_mut() {
+            m.learn_type(self.hire.types.iter().find(|t| t.name == m.info.kind));
+        }
+    }
+
     /// Everything on a machine is surely gone.
     pub(crate) fn lose_tasks(&mut self, machine: &MachineId, now: Secs) {
         let Some(m) = self.machines.get_mut(machine) else {
@@ -298,6 +327,10 @@
         if m.direct == Some(op) {
             m.direct = None;
         }
+        if matches!(result, DirectResult::Report(..)) {
+            m.reached = Some(now);
+            m.hail = false;
+        }
         let unknown = result == DirectResult::Unknown;
         match result {
             DirectResult::Report(_, report) => {
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -8,13 +8,13 @@
 
 use crate::consts::*;
 use crate::event::Secs;
+use crate::fleet::Machine;
 use crate::jobs::{Job, Live, Phase};
 use crate::leader::Leader;
 use marblebarrow_proto::ids::{Attempt, JobId, MachineId, TaskId};
-use marblebarrow_proto::job::{JobSpec, Kind};
-use marblebarrow_proto::wire::MachineType;
+use marblebarrow_proto::job::{JobSpec, Kind, Priority};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 /// What a pass knows beyond the leader's state.
 struct Pass {
@@ -22,11 +22,44 @@
     usage: BTreeMap<String, [f64; 2]>,
     /// What teams gave up in this pass. It still runs, so it stays in `usage`.
     given: BTreeMap<String, [f64; 2]>,
-    types: BTreeMap<String, MachineType>,
+    /// Usable machines with room, and the one that the pass is about, if only one.
+    rooms: BTreeMap<MachineId, [f64; 3]>,
+    only: Option<MachineId>,
+    /// What found no place in this pass: others alike needn't look.
+    failed: HashSet<Shape>,
+}
+
+/// Failed here before, how scarce the room is, the fetch, what stays free: the
+/// least is best.
+type PlaceScore = (bool, u8, u64, i64);
+
+/// What a task asks of a machine, as far as finding any goes.
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Shape {
+    amounts: [u64; 3],
+    spot: bool,
+    zone: Option<String>,
+    types: Option<Vec<String>>,
+    image: Option<String>,
+    claim: Option<(Claim, Priority, String)>,
+}
+
+impl Shape {
+    // Tasks whose job's other tasks matter are looked at each by itself.
+    fn of(spec: &JobSpec, images: Images, claim: Option<Claim>) -> Option<Self> {
+        (!spec.one_zone && !spec.spread).then(|| Self {
+            amounts: [spec.cpus.to_bits(), spec.gpus.to_bits(), spec.memory_gb.to_bits()],
+            spot: spec.spot,
+            zone: spec.zone.clone(),
+            types: spec.types.clone(),
+            image: (images == Images::Held).then(|| spec.image.clone()),
+            claim: claim.map(|c| (c, spec.priority, spec.team.clone())),
+        })
+    }
 }
 
 /// On what ground a task may take another's room.
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash)]
 enum Claim {
     /// It is of a higher rank.
     Rank,
@@ -51,14 +84,42 @@
 }
 
 impl Leader {
-    /// Places what can be placed now.
-    pub(crate) fn place(&mut self, now: Secs) {
-        let types =
-            self.hire.types.iter().map(|t| (t.name.clone(), t.clone())).collect::<BTreeMap<_, _>>();
-        let mut pass = Pass { now, usage: self.team_usage(), given: BTreeMap::new(), types };
-        if pass.types.is_empty() {
+    /// Places what can be placed now, on any machine or only on one.
+    pub(crate) fn place(&mut self, now: Secs, only: Option<&MachineId>) {
+        if self.hire.types.is_empty() {
+            return;
+        }
+        // Only machines with room for the smallest task are looked at again:
+        // in a full fleet of a thousand these are few.
+        let least = self.least_cpus.min(1e6) - 1e-9;
+        let report_s = self.facts.report_s;
+        let roomy = |m: &Machine| m.usable(now, report_s) && m.free()[0] >= least;
+        let rooms: BTreeMap<MachineId, [f64; 3]> = match only {
+            None => self
+                .machines
+                .iter()
+                .filter(|(_, m)| roomy(m))
+                .map(|(id, m)| (id.clone(), m.free()))
+                .collect(),
+            Some(id) => self
+                .machines
+                .get(id)
+                .filter(|m| roomy(m))
+                .map(|m| (id.clone(), m.free()))
+                .into_iter()
+                .collect(),
+        };
+        if only.is_some() && rooms.is_empty() {
             return;
         }
+        let mut pass = Pass {
+            now,
+            usage: self.team_usage(),
+            given: BTreeMap::new(),
+            rooms,
+            only: only.cloned(),
+            failed: HashSet::new(),
+        };
         self.place_services(&mut pass);
         self.place_gangs(&mut pass);
         // First those within their team's guarantee, then all.
@@ -69,6 +130,9 @@
                 self.place_arrays(&mut pass, guaranteed, images);
             }
         }
+        if only.is_none() {
+            self.backlog = self.jobs.values().any(|j| j.waiting() > 0);
+        }
     }
 
     fn place_services(&mut self, pass: &mut Pass) {
@@ -137,16 +201,13 @@
             let mut rooms: Vec<(&MachineId, &str, [f64; 3], bool)> = self
                 .machines
                 .iter()
-                .filter(|(id, m)| {
+                .filter(|(_, m)| {
                     m.usable(pass.now, self.facts.report_s)
                         && zone.is_none_or(|z| z == m.info.zone)
-                        && self.allowed(job, id, pass)
+                        && self.allowed(job, m)
                         && !m.exited.keys().any(|(t, _)| t.job == spec.id)
                 })
-                .filter_map(|(id, m)| {
-                    let free = m.free(pass.types.get(&m.info.kind)?);
-                    Some((id, m.info.zone.as_str(), free, m.has_image(&spec.image)))
-                })
+                .map(|(id, m)| (id, m.info.zone.as_str(), m.free(), m.has_image(&spec.image)))
                 .collect();
             // Machines with the image first, then the fullest.
             rooms.sort_by(|a, b| b.3.cmp(&a.3).then(a.2[0].total_cmp(&b.2[0])));
@@ -304,14 +365,10 @@
 
     /// Whether a task of the job may start on a machine as far as type, zone
     /// and kind go, given the job's other tasks.
-    fn allowed(&self, job: &Job, machine: &MachineId, pass: &Pass) -> bool {
-        let Some(m) = self.machines.get(machine) else {
-            return false;
-        };
+    fn allowed(&self, job: &Job, m: &Machine) -> bool {
         let spec = job.spec();
         let info = &m.info;
-        if !pass.types.contains_key(&info.kind)
-            || info.spot && !spec.spot
+        if info.spot && !spec.spot
             || spec.zone.as_ref().is_some_and(|z| *z != info.zone)
             || spec.types.as_ref().is_some_and(|t| !t.contains(&info.kind))
         {
@@ -341,26 +398,28 @@
         if !self.within_limit(pass, spec) {
             return false;
         }
+        let shape = Shape::of(spec, images, None);
+        if shape.as_ref().is_some_and(|s| pass.failed.contains(s)) {
+            return false;
+        }
         let task = TaskId { job: id.clone(), index: n };
-        let mut best: Option<((bool, u8, u64, i64), MachineId)> = None;
-        for (mid, m) in &self.machines {
-            if !m.usable(pass.now, self.facts.report_s) {
+        let mut own_fault = false;
+        let mut best: Option<(PlaceScore, &MachineId)> = None;
+        for (mid, free) in &pass.rooms {
+            if !fits(spec, free) {
                 continue;
             }
-            let Some(t) = pass.types.get(&m.info.kind) else {
+            let Some(m) = self.machines.get(mid).filter(|m| self.allowed(job, m)) else {
                 continue;
             };
-            let free = m.free(t);
-            if !fits(spec, &free)
-                || !self.allowed(job, mid, pass)
-                || m.exited.keys().any(|(e, _)| *e == task)
-            {
+            if m.exited.keys().any(|(e, _)| *e == task) {
+                own_fault = true;
                 continue;
             }
             // First machines on which the job didn't fail, with the image (or
             // quickest to fetch it), then the kind that is cheapest to use
             // up, then the fullest, so that idle machines can be returned.
-            let fetch = m.fetch_time(&spec.image, spec.image_gb, t.fetch_gb_per_s, pass.now);
+            let fetch = m.fetch_time(&spec.image, spec.image_gb, pass.now);
             let fetch = (fetch * 10.0) as u64;
             if fetch > 0 && images == Images::Held {
                 continue;
@@ -374,10 +433,11 @@
             };
             let score = (job.avoids(mid), scarce, fetch, (free[0] * 100.0) as i64);
             if best.as_ref().is_none_or(|(s, _)| score < *s) {
-                best = Some((score, mid.clone()));
+                best = Some((score, mid));
             }
         }
-        let Some((_, machine)) = best else {
+        let Some(machine) = best.map(|(_, mid)| mid.clone()) else {
+            pass.failed.extend(shape.filter(|_| !own_fault));
             return false;
         };
         let attempt = self.new_attempt();
@@ -391,6 +451,14 @@
     }
 
     fn put(&mut self, pass: &mut Pass, id: &JobId, n: u32, machine: &MachineId, attempt: Attempt) {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        if m.info.number == 0 {
+            self.next_number += 1;
+            m.info.number = self.next_number;
+        }
+        let number = m.info.number;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -402,22 +470,28 @@
             ran_from: None,
             doubt: false,
             stop: None,
+            sent: None,
         };
-        let new = !job.start_recorded(n, machine);
-        job.place(n, live);
+        let new = !job.start_recorded(n, number);
+        job.place(n, live, number);
         let spec = job.record.spec.clone();
         let used = pass.usage.entry(spec.team.clone()).or_default();
         used[0] += spec.cpus;
         used[1] += spec.gpus;
         if new {
-            self.writer.touch_task(id, n);
+            self.writer.touch_task(id, n, pass.now, true);
         }
         self.attach(id, n, machine);
         if let Some(m) = self.machines.get_mut(machine) {
             m.push = true;
-            let rate = pass.types.get(&m.info.kind).map_or(1.0, |t| t.fetch_gb_per_s);
-            m.expect_image(&spec.image, spec.image_gb, rate, pass.now);
-            self.writer.want_machine(machine, m);
+            m.expect_image(&spec.image, spec.image_gb, pass.now);
+            self.writer.want_machine(machine, m, pass.now);
+            let free = m.free();
+            if free[0] + 1e-9 >= self.least_cpus {
+                pass.rooms.insert(machine.clone(), free);
+            } else {
+                pass.rooms.remove(machine);
+            }
         }
         self.log.push(format!(
             "event=place task={id}/{n} attempt={} machine={machine} term={}",
@@ -435,6 +509,10 @@
         images: Images,
         claim: Claim,
     ) -> bool {
+        // A machine that came free has room; nobody need be stopped for it.
+        if pass.only.is_some() {
+            return false;
+        }
         let Some(job) = self.jobs.get(id) else {
             return false;
         };
@@ -442,19 +520,21 @@
         if !self.within_limit(pass, &spec) {
             return false;
         }
+        let shape = Shape::of(&spec, images, Some(claim));
+        if shape.as_ref().is_some_and(|s| pass.failed.contains(s)) {
+            return false;
+        }
         let mut best: Option<((u64, u64), MachineId, Vec<TaskId>)> = None;
         for (mid, m) in &self.machines {
-            if !m.usable(pass.now, self.facts.report_s) || !self.allowed(job, mid, pass) {
+            let others = m.tasks.len() > m.services as usize;
+            if !others || !m.usable(pass.now, self.facts.report_s) || !self.allowed(job, m) {
                 continue;
             }
-            let Some(t) = pass.types.get(&m.info.kind) else {
-                continue;
-            };
-            let fetch = m.fetch_time(&spec.image, spec.image_gb, t.fetch_gb_per_s, pass.now);
+            let fetch = m.fetch_time(&spec.image, spec.image_gb, pass.now);
             if fetch > 0.0 && images == Images::Held {
                 continue;
             }
-            let mut free = m.free(t);
+            let mut free = m.free();
             let mut victims: Vec<(f64, TaskId, [f64; 3])> = m
                 .tasks
                 .iter()
@@ -474,7 +554,8 @@
                         && s.kind == Kind::Array
                         && l.stop.is_none()
                         && !l.doubt
-                        && l.phase != Phase::Sent;
+                        && (l.never_sent(pass.now)
+                            || matches!(l.phase, Phase::Seen | Phase::Running));
                     let lost = l.ran_from.map_or(0.0, |f| pass.now - f);
                     stoppable.then(|| (lost, task.clone(), [s.cpus, s.gpus, s.memory_gb]))
                 })
@@ -499,8 +580,10 @@
             }
         }
         let Some((_, machine, victims)) = best else {
+            pass.failed.extend(shape);
             return false;
         };
+        pass.failed.clear();
         for task in victims {
             self.log.push(format!("event=preempt task={task} for={id} machine={machine}"));
             self.preempt(pass.now, &task);
@@ -518,7 +601,7 @@
     fn preempt(&mut self, now: Secs, task: &TaskId) {
         let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
         let Some(live) = live else { return };
-        if matches!(live.phase, Phase::Placed | Phase::Ready) {
+        if live.never_sent(now) {
             return self.over(&task.job, task.index, crate::jobs::Outcome::Lost, now);
         }
         live.stop = Some(0.0);
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -4,14 +4,14 @@
 
 use crate::consts::STORE_RETRY_S;
 use crate::event::{OpId, Out, Secs, StoreRequest, StoreResult};
-use crate::fleet::{Machine, Recorded};
+use crate::fleet::Machine;
 use crate::jobs::Job;
 use crate::leader::Leader;
 use crate::replica::Replica;
 use marblebarrow_proto::cbor::from_value;
-use marblebarrow_proto::ids::{JobId, MachineId};
+use marblebarrow_proto::ids::JobId;
 use marblebarrow_proto::records::{
-    MACHINES, MachineRecord, PROGRESS, ProgressRecord, parse_progress_key,
+    MACHINES, MachineBlock, PROGRESS, ProgressRecord, parse_progress_key,
 };
 use marblebarrow_proto::wire::Item;
 use std::collections::BTreeSet;
@@ -118,32 +118,41 @@
         for (id, job) in &mut self.jobs {
             job.limbo = job.started.iter().filter(|n| !job.finished.contains(*n)).collect();
             if job.complete() {
-                self.writer.close(id);
+                self.writer.close(id, now);
             }
         }
         for item in l.machine_items {
-            let Some(name) = item.key.strip_prefix(MACHINES) else {
+            let Some(block) = item.key.strip_prefix(MACHINES).and_then(|b| b.parse().ok()) else {
                 continue;
             };
-            let Ok(info) = from_value::<MachineRecord>(&item.value) else {
+            let Ok(found) = from_value::<MachineBlock>(&item.value) else {
                 continue;
             };
-            let mut m = Machine::new(info, now);
-            m.recorded = Recorded::Yes(item.version);
-            self.machines.insert(MachineId::new(name), m);
+            let members = found.machines.iter().map(|(id, _)| id.clone()).collect();
+            self.writer.found_block(block, item.version, members);
+            for (id, info) in found.machines {
+                self.next_number = self.next_number.max(info.number);
+                let mut m = Machine::new(info, now);
+                m.recorded = true;
+                m.block = Some(block);
+                // Shows the worker our token, so that older orders under way to
+                // it are void and its answer is whole.
+                m.hail = true;
+                self.machines.insert(id, m);
+            }
         }
+        // Numbers of machines long gone may stand in jobs' records still, so
+        // none of those is given out again.
+        let named = self.jobs.values().filter_map(|j| j.machines.bounds()).map(|(_, last)| last);
+        self.next_number = named.fold(self.next_number, u32::max);
+        self.learn_types();
         self.log.push(format!(
             "event=office term={} jobs={} machines={}",
             self.term.0,
             self.jobs.len(),
             self.machines.len()
         ));
-        // An order without commands shows each worker our token at once, so
-        // that older orders under way to it are void and its answer is whole.
-        let names: Vec<MachineId> = self.machines.keys().cloned().collect();
-        for name in names {
-            self.send_direct(&name, 1, Vec::new(), Vec::new(), out);
-        }
+        self.push_direct(now, out);
     }
 
     /// Ends recovery once every recorded machine is accounted for.
@@ -153,15 +162,15 @@
         }
         // A job's tasks can only be on the machines that its record names, so
         // a silent machine holds up no others.
-        let doubtful: BTreeSet<&MachineId> = self
+        let doubtful: BTreeSet<u32> = self
             .machines
-            .iter()
-            .filter(|(_, m)| m.recorded != Recorded::No && !m.confirmed)
-            .map(|(id, _)| id)
+            .values()
+            .filter(|m| m.recorded && !m.confirmed)
+            .map(|m| m.info.number)
             .collect();
         let mut freed = 0;
         for (id, job) in &mut self.jobs {
-            if job.limbo.is_empty() || job.machines.iter().any(|m| doubtful.contains(m)) {
+            if job.limbo.is_empty() || doubtful.iter().any(|m| job.machines.contains(*m)) {
                 continue;
             }
             for n in std::mem::take(&mut job.limbo) {
@@ -169,7 +178,7 @@
                 freed += 1;
             }
             if job.cancelled {
-                self.writer.close(id);
+                self.writer.close(id, now);
             }
         }
         if freed > 0 {
@@ -198,7 +207,7 @@
         job.runs = (1, record.mean_ms as f64 / 1e3);
     }
     if part == 0 {
-        job.machines = record.machines.iter().cloned().collect();
+        job.machines = record.machines.unpack();
         job.stored_machines.clone_from(&job.machines);
     }
     if part == 0 && record.queue.is_some() {
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -18,31 +18,31 @@
     at: Secs,
     free: [f64; 3],
     spot: bool,
-    kind: String,
-    zone: String,
+    /// Its type, by place in the list of types.
+    kind: usize,
+    /// Its zone, by place in its type's list.
+    zone: usize,
 }
+
 impl Leader {
     /// Rooms of the machines that are up or on their way.
     fn rooms(&self, now: Secs, without: Option<&MachineId>) -> Vec<Room> {
-        let kinds: BTreeMap<&str, &MachineType> =
-            self.hire.types.iter().map(|t| (t.name.as_str(), t)).collect();
+        let kinds: BTreeMap<&str, (usize, &MachineType)> =
+            self.hire.types.iter().enumerate().map(|(i, t)| (t.name.as_str(), (i, t))).collect();
         let mut rooms = Vec::new();
+        let zone_of =
+            |t: &MachineType, zone: &str| t.zones.iter().position(|z| z == zone).unwrap_or(0);
         for (id, m) in &self.machines {
             if Some(id) == without || !m.usable(now, self.facts.report_s) {
                 continue;
             }
-            if let Some(t) = kinds.get(m.info.kind.as_str()) {
-                rooms.push(Room {
-                    at: now,
-                    free: m.free(t),
-                    spot: m.info.spot,
-                    kind: m.info.kind.clone(),
-                    zone: m.info.zone.clone(),
-                });
+            if let Some((kind, t)) = kinds.get(m.info.kind.as_str()) {
+                let zone = zone_of(t, &m.info.zone);
+                rooms.push(Room { at: now, free: m.free(), spot: m.info.spot, kind: *kind, zone });
             }
         }
         for b in self.hire.booting.values().filter(|b| !b.failed) {
-            if let Some(t) = kinds.get(b.kind.as_str())
+            if let Some((kind, t)) = kinds.get(b.kind.as_str())
                 && (now - b.since < t.boot_s * 2.0 + 5.0
                     || b.up && now - self.hire.office_at < RENT_AFTER_S * 2.0)
             {
@@ -50,8 +50,8 @@
                     at: b.since + t.boot_s,
                     free: [t.cpus, t.gpus, t.memory_gb],
                     spot: b.spot,
-                    kind: b.kind.clone(),
-                    zone: b.zone.clone(),
+                    kind: *kind,
+                    zone: zone_of(t, &b.zone),
                 });
             }
         }
@@ -78,7 +78,7 @@
     pub(crate) fn warm_without(&mut self, now: Secs, id: &MachineId) -> bool {
         let mut rooms = self.rooms(now, Some(id));
         let wanted = self.warm_wanted(now);
-        wanted.iter().all(|(spec, count)| (0..*count).all(|_| take_room(&mut rooms, spec)))
+        wanted.iter().all(|(spec, n)| Need::of(spec, &self.hire.types).lacking(&mut rooms, *n) == 0)
     }
 
     /// Rents for what finds no room.
@@ -106,40 +106,43 @@
         let mut lacking: Vec<(JobSpec, u32)> = Vec::new();
         for job in self.waiting_services() {
             let spec = job.spec();
-            let n =
-                (0..job.waiting()).filter(|_| book(spec) && !take_room(&mut rooms, spec)).count();
-            lacking.push((spec.clone(), n as u32));
+            let need = Need::of(spec, &self.hire.types);
+            let n = (0..job.waiting()).take_while(|_| book(spec)).count() as u32;
+            lacking.push((spec.clone(), need.lacking(&mut rooms, n)));
         }
         // Room held by arrays on ordinary machines can be had by preemption,
         // so the warm reserve need not stand idle.
         let mut warm_rooms = rooms.clone();
         self.add_preemptable(now, &mut warm_rooms);
         for (spec, count) in self.warm_wanted(now) {
-            let n = (0..count).filter(|_| !take_room(&mut warm_rooms, &spec)).count();
-            lacking.push((spec, n as u32));
+            let n = Need::of(&spec, &self.hire.types).lacking(&mut warm_rooms, count);
+            lacking.push((spec, n));
         }
         for job in self.jobs.values().filter(|j| j.spec().kind == Kind::Gang && !j.mistaken()) {
             let spec = job.spec();
-            let n =
-                (0..job.waiting()).filter(|_| book(spec) && !take_room(&mut rooms, spec)).count();
-            lacking.push((spec.clone(), n as u32));
+            let need = Need::of(spec, &self.hire.types);
+            let n = (0..job.waiting()).take_while(|_| book(spec)).count() as u32;
+            lacking.push((spec.clone(), need.lacking(&mut rooms, n)));
         }
         let late = self.late_tasks(now, &rooms, book);
         lacking.extend(late);
         // What is left of a machine thought of for one job serves the next.
         let mut thought: Vec<Room> = Vec::new();
         let mut plan: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
+        let all: u32 = lacking.iter().map(|(_, n)| n).sum();
+        let most = PLAN_MAX.max((f64::from(all) * PLAN_SHARE) as usize);
         for (spec, count) in lacking {
+            let need = Need::of(&spec, &self.hire.types);
             for left in (1..=count).rev() {
-                if take_room(&mut thought, &spec) {
+                if need.take(&mut thought) {
                     continue;
                 }
-                if thought.len() >= PLAN_MAX {
+                if thought.len() >= most {
                     break;
                 }
                 let Some((room, key)) = self.choose(now, &spec, left) else { break };
                 thought.push(room);
-                take_room(&mut thought, &spec);
+                need.take(&mut thought);
                 *plan.entry(key).or_default() += 1;
             }
         }
@@ -253,8 +256,8 @@
         let h = &mut self.hire;
         h.no_capacity.retain(|_, until| now < *until);
         h.next_zone += 1;
-        let mut best: Option<(f64, usize, &MachineType, String, bool)> = None;
-        for t in h.types.iter().filter(|t| type_allows(spec, t)) {
+        let mut best: Option<(f64, usize, (usize, usize), bool)> = None;
+        for (k, t) in h.types.iter().enumerate().filter(|(_, t)| type_allows(spec, t)) {
             let holds = per_machine(spec, t);
             if holds == 0 {
                 continue;
@@ -274,16 +277,16 @@
                     let price = if spot { t.spot_price } else { t.price } / used;
                     let turn = (i + h.next_zone) % t.zones.len().max(1);
                     if best.as_ref().is_none_or(|b| (price, turn) < (b.0, b.1)) {
-                        best = Some((price, turn, t, zone.clone(), spot));
+                        best = Some((price, turn, (k, i), spot));
                     }
                 }
             }
         }
-        let (_, _, t, zone, spot) = best?;
+        let (_, _, (kind, zone), spot) = best?;
+        let t = h.types.get(kind)?;
         let free = [t.cpus, t.gpus, t.memory_gb];
-        let room =
-            Room { at: now + t.boot_s, free, spot, kind: t.name.clone(), zone: zone.clone() };
-        Some((room, (t.name.clone(), zone, spot)))
+        let room = Room { at: now + t.boot_s, free, spot, kind, zone };
+        Some((room, (t.name.clone(), t.zones.get(zone)?.clone(), spot)))
     }
 }
 
@@ -295,19 +298,55 @@
         as u32
 }
 
-fn take_room(rooms: &mut [Room], spec: &JobSpec) -> bool {
-    let needs = [spec.cpus, spec.gpus, spec.memory_gb];
-    let room = rooms
-        .iter_mut()
-        .filter(|r| {
-            (spec.spot || !r.spot)
-                && spec.types.as_ref().is_none_or(|t| t.contains(&r.kind))
-                && spec.zone.as_ref().is_none_or(|z| *z == r.zone)
-                && (0..3).all(|i| r.free[i] + 1e-9 >= needs[i])
-        })
-        // Spot room first: ordinary room is what services need.
-        .min_by_key(|r| (spec.spot && !r.spot, (r.free[0] * 100.0) as i64));
-    let Some(room) = room else { return false };
-    (0..3).for_each(|i| room.free[i] -= needs[i]);
-    true
+/// What a task needs of a room.
+struct Need {
+    amounts: [f64; 3],
+    spot: bool,
+    /// For each type, by its place: whether it is allowed, and in which zone.
+    kinds: Vec<Option<Option<usize>>>,
+}
+
+impl Need {
+    fn of(spec: &JobSpec, types: &[MachineType]) -> Self {
+        let kinds = types
+            .iter()
+            .map(|t| {
+                if spec.types.as_ref().is_some_and(|l| !l.contains(&t.name)) {
+                    return None;
+                }
+                match &spec.zone {
+                    None => Some(None),
+                    Some(zone) => t.zones.iter().position(|z| z == zone).map(Some),
+                }
+            })
+            .collect();
+        Self { amounts: [spec.cpus, spec.gpus, spec.memory_gb], spot: spec.spot, kinds }
+    }
+
+    fn fits(&self, room: &Room) -> bool {
+        (0..3).all(|i| room.free[i] + 1e-9 >= self.amounts[i])
+            && (self.spot || !room.spot)
+            && self.kinds.get(room.kind).is_some_and(|k| match k {
+                None => false,
+                Some(zone) => zone.is_none_or(|z| z == room.zone),
+            })
+    }
+
+    /// Takes one of the rooms, if one is large enough.
+    fn take(&self, rooms: &mut [Room]) -> bool {
+        let room = rooms
+            .iter_mut()
+            .filter(|r| self.fits(r))
+            // Spot room first: ordinary room is what services need.
+            .min_by_key(|r| (self.spot && !r.spot, (r.free[0] * 100.0) as i64));
+        let Some(room) = room else { return false };
+        (0..3).for_each(|i| room.free[i] -= self.amounts[i]);
+        true
+    }
+
+    /// Takes rooms until none is left or all tasks have one; how many have none.
+    fn lacking(&self, rooms: &mut [Room], tasks: u32) -> u32 {
+        let placed = (0..tasks).take_while(|_| self.take(rooms)).count() as u32;
+        tasks - placed
+    }
 }
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -2,7 +2,7 @@
 
 use crate::consts::*;
 use crate::event::{Action, Answer, Out, Secs};
-use crate::fleet::{Machine, Recorded};
+use crate::fleet::Machine;
 use crate::jobs::{Live, Outcome, Phase};
 use crate::leader::{DirectSent, Leader};
 use marblebarrow_proto::ids::{JobId, MachineId, TaskId};
@@ -22,14 +22,39 @@
             // Leases go on; machines are counted from when loading ends.
             return Some(Answer::Report(ReportAnswer { token, commands: Vec::new() }));
         }
+        // Who was the last to report is the first to know better: an older
+        // report is a copy that came late, its sender gave it up long ago, and
+        // an answer would only make a dead machine's lease seem alive.
+        let known = self.machines.get(&report.machine);
+        let late = known.is_some_and(|m| {
+            (report.session, report.seq) <= (m.session, m.reported)
+                || report.session < m.session
+                || m.lapsed.is_some_and(|s| report.session <= s)
+        });
+        if late {
+            return None;
+        }
         self.absorb(now, report);
+        self.note_gap(now, report);
         let m = self.machines.get_mut(&report.machine)?;
-        if m.lapsed.is_some() || report.session < m.session {
+        if m.lapsed.is_some() {
             return None;
         }
         m.answered = now;
+        if self.backlog && m.free()[0] + 1e-9 >= self.least_cpus {
+            // What comes free is filled at once, in the same answer if the
+            // start is recorded already.
+            self.place(now, Some(&report.machine));
+        }
+        let m = self.machines.get_mut(&report.machine)?;
         let commands = if m.direct.is_none() {
-            let (commands, _) = self.compose(&report.machine);
+            let (commands, starts) = self.compose(&report.machine);
+            for task in starts {
+                let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
+                if let Some(live) = live {
+                    live.sent = Some(now);
+                }
+            }
             commands
         } else {
             // Orders are under way directly: two ways at once would cross.
@@ -38,6 +63,18 @@
         Some(Answer::Report(ReportAnswer { token, commands }))
     }
 
+    /// What the pace of a worker's own reports proves: one that got no answer
+    /// waits for it, then tries elsewhere, so one that is back sooner got it.
+    fn note_gap(&mut self, now: Secs, report: &Report) {
+        let Some(m) = self.machines.get_mut(&report.machine) else { return };
+        let soon = m.last_report.is_some_and(|at| now - at < WORKER_GIVES_UP_S - WORKER_MARGIN_S);
+        if soon && m.reported != 0 && m.confirmed {
+            m.reached = Some(now);
+        }
+        m.last_report = Some(now);
+        m.reported = report.seq;
+    }
+
     /// Takes a report's news, unless a newer message was taken before.
     pub(crate) fn absorb(&mut self, now: Secs, report: &Report) {
         if self.tombs.contains_key(&report.machine) {
@@ -52,11 +89,15 @@
                     spot: report.spot,
                     addr: report.addr.clone(),
                     images: Vec::new(),
+                    number: 0,
                 },
                 now,
             )
         });
         self.hire.heard(id);
+        if m.heard.is_none() {
+            m.learn_type(self.hire.types.iter().find(|t| t.name == m.info.kind));
+        }
         if m.lapsed.is_some_and(|s| report.session <= s)
             || (report.session, report.seq) <= (m.session, m.seq)
         {
@@ -69,6 +110,13 @@
         let Some(m) = self.machines.get_mut(id) else {
             return;
         };
+        if new_session {
+            // Its lease ran out though we heard it, or it was silent: either
+            // way it must show anew that our words reach it.
+            m.reached = None;
+            m.reported = 0;
+            m.last_report = None;
+        }
         if m.heard.is_none() || m.lapsed.is_some() || m.session != report.session {
             self.place_due = true;
         }
@@ -79,12 +127,18 @@
         m.heard = Some(now);
         if m.info.addr != report.addr {
             m.info.addr.clone_from(&report.addr);
-            m.dirty = m.recorded != Recorded::No;
+            if let Some(block) = m.block {
+                self.writer.machine_changed(block, now);
+            }
         }
         m.notice = report.notice_s.map(|s| now + s);
         // It has seen our token: whatever older leaders sent is void, and this
         // list is all there is.
-        m.confirmed |= report.token >= self.term.0;
+        if !m.confirmed && report.token >= self.term.0 {
+            m.confirmed = true;
+            m.reached = Some(now);
+        }
+        m.hail = m.reached.is_none();
         m.exited.clear();
         m.strangers.clear();
         let mut listed = BTreeSet::new();
@@ -124,6 +178,9 @@
             if ours && job.live.get(&n).is_some_and(|l| l.doubt) {
                 m.keep.insert(key.clone());
             }
+            if ours {
+                m.reached = Some(now);
+            }
             m.exited.insert(key, why);
             self.task_ended(now, id, &task, why, ours);
             return;
@@ -133,6 +190,10 @@
             let Some(live) = job.live.get_mut(&n) else {
                 return;
             };
+            if live.phase == Phase::Sent {
+                // It got the order.
+                m.reached = Some(now);
+            }
             match entry.state {
                 TaskState::Running | TaskState::Waiting => {
                     if entry.state == TaskState::Running {
@@ -148,8 +209,11 @@
                         live.phase = Phase::Seen;
                     }
                     let (image, gb) = (&job.record.spec.image, job.record.spec.image_gb);
-                    let cache = self.hire.cache_gb(&m.info.kind);
-                    m.touch_image(image, gb, cache);
+                    if m.touch_image(image, gb)
+                        && let Some(block) = m.block
+                    {
+                        self.writer.machine_changed(block, now);
+                    }
                 }
                 _ if live.phase != Phase::Running => live.phase = Phase::Seen,
                 _ => {}
@@ -181,7 +245,12 @@
         job.limbo.remove(&n);
         job.again.remove(&n);
         job.started.insert(n);
-        job.machines.insert(id.clone());
+        if m.info.number == 0 {
+            self.next_number += 1;
+            m.info.number = self.next_number;
+        }
+        job.machines.insert(m.info.number);
+        self.writer.want_machine(id, m, now);
         let running = entry.state == TaskState::Running;
         let live = Live {
             machine: id.clone(),
@@ -191,15 +260,15 @@
             ran_from: None,
             doubt: false,
             stop: job.cancelled.then_some(0.0),
+            sent: None,
         };
         job.live.insert(n, live);
         if running {
             let (image, gb) = (&job.record.spec.image, job.record.spec.image_gb);
-            let cache = self.hire.cache_gb(&m.info.kind);
-            m.touch_image(image, gb, cache);
+            m.touch_image(image, gb);
         }
         listed.insert(task.clone());
-        self.writer.touch_task(&task.job, n);
+        self.writer.touch_task(&task.job, n, now, false);
         self.attach(&task.job, n, id);
     }
 
@@ -288,11 +357,14 @@
 
     // What isn't listed is gone, unless its start may still arrive.
     fn absorb_absent(&mut self, now: Secs, id: &MachineId, listed: &BTreeSet<TaskId>) {
-        let Some(m) = self.machines.get(id) else {
+        // A list from before the worker saw our token says nothing of what an
+        // earlier leader's orders did to it since.
+        let Some(m) = self.machines.get(id).filter(|m| m.confirmed) else {
             return;
         };
         let in_flight = m.direct.is_some();
         let absent: Vec<TaskId> = m.tasks.difference(listed).cloned().collect();
+        let mut missed = false;
         for task in absent {
             let Some(live) = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index))
             else {
@@ -301,13 +373,20 @@
             match live.phase {
                 Phase::Placed | Phase::Ready if live.stop.is_none() || live.doubt => {}
                 Phase::Placed | Phase::Ready => {
-                    self.over(&task.job, task.index, Outcome::Lost, now)
+                    if live.never_sent(now) {
+                        self.over(&task.job, task.index, Outcome::Lost, now);
+                    }
                 }
                 Phase::Sent if in_flight => {}
-                // Not executed, and the answer that carried it can't be any
-                // more: send it again. The same attempt starts but once.
-                Phase::Sent if live.stop.is_none() => live.phase = Phase::Ready,
+                // Not executed, or not yet: send it again. The same attempt
+                // starts but once. It is asked whether it hears us.
+                Phase::Sent if live.stop.is_none() => {
+                    live.phase = Phase::Ready;
+                    missed = true;
+                }
                 Phase::Sent if live.doubt => {}
+                Phase::Sent
+                    if live.sent.is_some_and(|at| now < at + WORKER_DROPS_S + WORKER_MARGIN_S) => {}
                 Phase::Sent | Phase::Seen | Phase::Running => {
                     if live.doubt {
                         // It was here and is gone, but a late copy of its
@@ -320,6 +399,9 @@
                 }
             }
         }
+        if missed && let Some(m) = self.machines.get_mut(id) {
+            m.hail = true;
+        }
     }
 
     /// The commands a machine should get now: stops, clears, then starts.
@@ -355,8 +437,8 @@
                 commands.push(Command::Forget { task: task.to_string(), attempt: *attempt });
             }
         }
-        let recorded = matches!(m.recorded, Recorded::Yes(_));
-        let startable = recorded && m.lapsed.is_none() && !m.releasing;
+        let startable = m.recorded && m.lapsed.is_none() && !m.releasing && m.reached.is_some();
+        let number = m.info.number;
         for task in m.tasks.iter().filter(|_| startable) {
             if commands.len() >= COMMANDS_MAX {
                 m.push = true;
@@ -365,7 +447,7 @@
             let Some(job) = self.jobs.get_mut(&task.job) else {
                 continue;
             };
-            if job.cancelled || !job.start_recorded(task.index, id) {
+            if job.cancelled || !job.start_recorded(task.index, number) {
                 continue;
             }
             let Some(live) = job.live.get_mut(&task.index) else {
@@ -382,28 +464,31 @@
 
     /// Sends directly what shouldn't wait for the next report.
     pub(crate) fn push_direct(&mut self, now: Secs, out: &mut Out) {
-        let ready: Vec<MachineId> = self
+        let mut ready: Vec<(Secs, MachineId)> = self
             .machines
             .iter()
             .filter(|(_, m)| {
-                m.push
-                    && m.direct.is_none()
+                m.direct.is_none()
                     && now >= m.direct_after
-                    && m.session != 0
-                    && m.lapsed.is_none()
+                    && (m.push && m.session != 0 && m.lapsed.is_none() || m.hail)
             })
-            .map(|(id, _)| id.clone())
+            .map(|(id, m)| (m.direct_after, id.clone()))
             .collect();
-        for id in ready {
+        // Who waited longest first, so that a crowd of silent machines holds up
+        // the others for one round only.
+        ready.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, id) in ready {
             if self.directs.len() >= DIRECT_MAX {
                 break;
             }
-            let Some(session) = self.machines.get(&id).map(|m| m.session) else {
+            let Some((session, hail)) = self.machines.get(&id).map(|m| (m.session, m.hail)) else {
                 continue;
             };
-            let (commands, starts) = self.compose(&id);
-            if !commands.is_empty() {
-                self.send_direct(&id, session, commands, starts, out);
+            let (commands, starts) =
+                if session != 0 { self.compose(&id) } else { (Vec::new(), Vec::new()) };
+            if hail || !commands.is_empty() {
+                // An unknown session is refused, with the report we want.
+                self.send_direct(&id, session.max(1), commands, starts, out);
             }
         }
     }
@@ -431,6 +516,18 @@
         self.directs.insert(op, DirectSent { machine: id.clone(), session, starts });
     }
 
+    /// Machines that are heard but haven't shown for long that they hear us are
+    /// asked directly.
+    pub(crate) fn check_reach(&mut self, now: Secs) {
+        let ask = (self.facts.report_s * REACH_REPORTS + WORKER_GIVES_UP_S) * HAIL_SHARE;
+        for m in self.machines.values_mut() {
+            let heard = m.heard.is_some_and(|h| now - h < self.facts.report_s * SILENT_REPORTS);
+            if heard && m.reached.is_none_or(|at| now - at > ask) {
+                m.hail = true;
+            }
+        }
+    }
+
     /// Leases that surely ran out.
     pub(crate) fn lapse(&mut self, now: Secs) {
         let life = self.facts.lease_s * (1.0 + DRIFT) + LEASE_MARGIN_S;
@@ -443,6 +540,7 @@
         for id in lapsed {
             if let Some(m) = self.machines.get_mut(&id) {
                 m.lapsed = Some(m.session);
+                m.hail = false;
                 m.confirmed = true;
             }
             self.log.push(format!("event=lapsed machine={id} term={}", self.term.0));
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -5,13 +5,14 @@
 use crate::consts::*;
 use crate::event::{OpId, Out, Secs, StoreRequest, StoreResult};
 use crate::facts::Facts;
-use crate::fleet::{Machine, Recorded};
+use crate::fleet::Machine;
 use crate::jobs::{Job, Outcome, Phase};
 use crate::leader::Leader;
 use crate::replica::Replica;
 use marblebarrow_proto::cbor::{encode, from_value, to_value};
 use marblebarrow_proto::ids::{Attempt, JobId, MachineId, TaskId};
 use marblebarrow_proto::intset::{IntSet, PackedSet};
+use marblebarrow_proto::job::Kind;
 use marblebarrow_proto::records::{self, *};
 use marblebarrow_proto::wire::{Cond, Txn, Write};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -19,27 +20,61 @@
 /// One record of a transaction.
 #[derive(Debug)]
 enum Entry {
-    Part { job: JobId, part: u32, started: IntSet, finished: IntSet, machines: BTreeSet<MachineId> },
-    Machine(MachineId),
-    MachineGone(MachineId),
-    Close { job: JobId, cancelled: bool, tasks: u32 },
+    Part {
+        job: JobId,
+        part: u32,
+        started: IntSet,
+        finished: IntSet,
+        machines: IntSet,
+    },
+    /// A block of machine records, with the machines that are in it.
+    Block(u32, Vec<MachineId>),
+    Close {
+        job: JobId,
+        cancelled: bool,
+        tasks: u32,
+    },
     Types,
 }
 
+/// A record that is out of date.
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    since: Secs,
+    /// Starts wait for it.
+    urgent: bool,
+}
+
+impl Mark {
+    fn merge(slot: &mut Option<Mark>, now: Secs, urgent: bool) {
+        let mark = slot.get_or_insert(Mark { since: now, urgent });
+        mark.urgent |= urgent;
+    }
+}
+
+/// Machine records that are written together.
+#[derive(Debug, Default)]
+struct Block {
+    version: u64,
+    members: BTreeSet<MachineId>,
+    mark: Option<Mark>,
+}
+
 /// What waits to be written.
 #[derive(Debug)]
 pub(crate) struct Writer {
-    parts: BTreeSet<(JobId, u32)>,
-    machines: BTreeSet<MachineId>,
-    gone: BTreeMap<MachineId, u64>,
-    closing: BTreeSet<JobId>,
+    parts: BTreeMap<(JobId, u32), Mark>,
+    blocks: BTreeMap<u32, Block>,
+    closing: BTreeMap<JobId, Secs>,
     closed: VecDeque<(JobId, u64)>,
     running: Option<(OpId, Vec<Entry>)>,
     /// Keys whose version must be read again, and the read under way.
     resync: VecDeque<(String, Entry)>,
     reading: Option<OpId>,
     budget: f64,
-    rate: f64,
+    rps: f64,
+    /// Changes of users lately, decaying: the rest of the rate is ours.
+    users: f64,
     refilled: Secs,
     next: Secs,
     types_key: String,
@@ -47,51 +82,93 @@
 
 impl Writer {
     pub(crate) fn new(facts: &Facts, now: Secs) -> Self {
-        let rate = facts.store_write_rps * LEADER_WRITE_SHARE;
         Self {
-            parts: BTreeSet::new(),
-            machines: BTreeSet::new(),
-            gone: BTreeMap::new(),
-            closing: BTreeSet::new(),
+            parts: BTreeMap::new(),
+            blocks: BTreeMap::new(),
+            closing: BTreeMap::new(),
             closed: VecDeque::new(),
             running: None,
             resync: VecDeque::new(),
             reading: None,
-            budget: rate,
-            rate,
+            budget: facts.store_write_rps * LEADER_WRITE_SHARE,
+            rps: facts.store_write_rps,
+            users: 0.0,
             refilled: now,
             next: now,
             types_key: String::new(),
         }
     }
 
-    /// A task's started or finished mark changed.
-    pub(crate) fn touch_task(&mut self, id: &JobId, n: u32) {
-        // Part 0 also names the machines.
-        self.parts.insert((id.clone(), 0));
-        self.parts.insert((id.clone(), n / PART_TASKS));
-        // Marks made ahead may reach into the next part.
-        self.parts.insert((id.clone(), n.saturating_add(START_AHEAD) / PART_TASKS));
+    fn refill(&mut self, now: Secs) {
+        let past = now - self.refilled;
+        self.refilled = now;
+        self.users *= (-past / USER_RATE_S).exp();
+        let rate = self.rps * LEADER_WRITE_MAX - self.users / USER_RATE_S;
+        let rate = rate.max(self.rps * LEADER_WRITE_SHARE);
+        self.budget = (self.budget + past * rate).min(self.rps * LEADER_WRITE_SHARE);
+    }
+
+    /// Users' submissions and cancels changed so many keys.
+    pub(crate) fn saw_user_changes(&mut self, changes: f64) {
+        self.users += changes;
+    }
+
+    /// A task's started or finished mark changed; `starts`: a start waits for it.
+    pub(crate) fn touch_task(&mut self, id: &JobId, n: u32, now: Secs, starts: bool) {
+        // Part 0 also names the machines; marks made ahead may reach into the
+        // next part.
+        for part in [0, n / PART_TASKS, n.saturating_add(START_AHEAD) / PART_TASKS] {
+            let mark =
+                self.parts.entry((id.clone(), part)).or_insert(Mark { since: now, urgent: starts });
+            if starts && !mark.urgent {
+                *mark = Mark { since: now, urgent: true };
+            }
+        }
     }
 
     /// A machine is about to get a task: it must be recorded first.
-    pub(crate) fn want_machine(&mut self, id: &MachineId, m: &Machine) {
-        if m.recorded == Recorded::No || m.dirty {
-            self.machines.insert(id.clone());
+    pub(crate) fn want_machine(&mut self, id: &MachineId, m: &mut Machine, now: Secs) {
+        if m.recorded {
+            return;
+        }
+        let block = match m.block {
+            Some(b) => b,
+            None => {
+                let free = self.blocks.iter().find(|(_, b)| b.members.len() < BLOCK_MACHINES);
+                let next = self.blocks.last_key_value().map_or(0, |(b, _)| b + 1);
+                free.map_or(next, |(b, _)| *b)
+            }
+        };
+        m.block = Some(block);
+        let entry = self.blocks.entry(block).or_default();
+        entry.members.insert(id.clone());
+        Mark::merge(&mut entry.mark, now, true);
+    }
+
+    /// A block as a new leader found it.
+    pub(crate) fn found_block(&mut self, block: u32, version: u64, members: BTreeSet<MachineId>) {
+        self.blocks.insert(block, Block { version, members, mark: None });
+    }
+
+    /// A machine's record is out of date, or it is gone for good.
+    pub(crate) fn machine_changed(&mut self, block: u32, now: Secs) {
+        if let Some(b) = self.blocks.get_mut(&block) {
+            Mark::merge(&mut b.mark, now, false);
         }
     }
 
     /// A machine is gone for good.
-    pub(crate) fn machine_gone(&mut self, id: &MachineId, recorded: Recorded) {
-        self.machines.remove(id);
-        if let Recorded::Yes(version) = recorded {
-            self.gone.insert(id.clone(), version);
+    pub(crate) fn machine_gone(&mut self, id: &MachineId, block: Option<u32>, now: Secs) {
+        let Some(block) = block else { return };
+        if let Some(b) = self.blocks.get_mut(&block) {
+            b.members.remove(id);
         }
+        self.machine_changed(block, now);
     }
 
     /// A job may be ready to be closed.
-    pub(crate) fn close(&mut self, id: &JobId) {
-        self.closing.insert(id.clone());
+    pub(crate) fn close(&mut self, id: &JobId, now: Secs) {
+        self.closing.entry(id.clone()).or_insert(now);
     }
 
     /// Whether that very job was closed: the watch may still show it.
@@ -100,12 +177,34 @@
     }
 }
 
+/// A transaction as it grows.
+struct Batch {
+    txn: Txn,
+    entries: Vec<Entry>,
+    room: usize,
+    bytes: usize,
+}
+
+impl Batch {
+    fn full(&self) -> bool {
+        self.txn.writes.len() >= self.room || self.bytes > TXN_BYTES
+    }
+    fn put(&mut self, key: String, version: u64, value: ciborium::Value) {
+        self.bytes += encode(&value).len();
+        self.txn.conds.push(Cond { key: key.clone(), version });
+        self.txn.writes.push(Write::Put { key, value, grant: None });
+    }
+    fn drop_key(&mut self, key: String, version: u64) {
+        self.txn.conds.push(Cond { key: key.clone(), version });
+        self.txn.writes.push(Write::Delete { key });
+    }
+}
+
 impl Leader {
     /// Sends the next transaction, if one is due.
     pub(crate) fn flush(&mut self, now: Secs, replica: &Replica, out: &mut Out) {
         let w = &mut self.writer;
-        w.budget = (w.budget + (now - w.refilled) * w.rate).min(w.rate);
-        w.refilled = now;
+        w.refill(now);
         if w.running.is_some() || w.reading.is_some() || now < w.next {
             return;
         }
@@ -113,12 +212,7 @@
             w.reading = Some(out.store(StoreRequest::Get(key.clone())));
             return;
         }
-        for (id, m) in &self.machines {
-            if m.dirty {
-                w.machines.insert(id.clone());
-            }
-        }
-        let (txn, entries) = self.batch(now, replica);
+        let Batch { txn, entries, .. } = self.batch(now, replica);
         if txn.writes.is_empty() {
             return;
         }
@@ -129,54 +223,83 @@
         w.running = Some((op, entries));
     }
 
-    fn batch(&mut self, now: Secs, replica: &Replica) -> (Txn, Vec<Entry>) {
-        let mut txn = Txn {
-            conds: vec![Cond { key: LEADER.into(), version: self.version }],
-            writes: Vec::new(),
-        };
-        let mut entries = Vec::new();
-        let room = (self.facts.store_txn_ops).min(self.writer.budget.max(0.0) as usize);
-        let mut bytes = 0;
-        let put = |txn: &mut Txn, key: String, version: u64, value| {
-            txn.conds.push(Cond { key: key.clone(), version });
-            txn.writes.push(Write::Put { key, value, grant: None });
+    // What others wait for goes first: jobs whose end is overdue, machines and
+    // tasks whose starts wait (services before arrays), other ends; then, after
+    // a while in which they gather, finished tasks, images and machines gone.
+    fn batch(&mut self, now: Secs, replica: &Replica) -> Batch {
+        let mut b = Batch {
+            txn: Txn {
+                conds: vec![Cond { key: LEADER.into(), version: self.version }],
+                writes: Vec::new(),
+            },
+            entries: Vec::new(),
+            room: self.facts.store_txn_ops.min(self.writer.budget.max(0.0) as usize),
+            bytes: 0,
         };
-        // Machines first: starts wait for them. Then progress, then the rest.
-        for id in self.writer.machines.clone() {
-            let Some(m) = self.machines.get_mut(&id) else {
-                self.writer.machines.remove(&id);
+        if b.room == 0 {
+            return b;
+        }
+        self.batch_closes(now, CLOSE_LATEST_S, &mut b);
+        self.batch_blocks(now, true, &mut b);
+        self.batch_parts(now, &mut b);
+        self.batch_closes(now, 0.0, &mut b);
+        self.batch_blocks(now, false, &mut b);
+        self.types_entry(replica, &mut b);
+        b
+    }
+
+    fn batch_blocks(&mut self, now: Secs, urgent: bool, b: &mut Batch) {
+        for (&number, block) in &mut self.writer.blocks {
+            let due = |m: &Mark| m.urgent == urgent && (urgent || now - m.since > BLOCK_LAZY_S);
+            if b.full() || !block.mark.as_ref().is_some_and(due) {
                 continue;
-            };
-            if txn.writes.len() + 1 > room {
-                break;
             }
-            let version = match m.recorded {
-                Recorded::Yes(v) => v,
-                Recorded::No => 0,
-            };
-            m.dirty = false;
-            put(&mut txn, machine_key(&id), version, to_value(&m.info));
-            self.writer.machines.remove(&id);
-            entries.push(Entry::Machine(id));
-        }
-        for (id, part) in self.writer.parts.clone() {
-            let Some(job) = self.jobs.get(&id).filter(|j| !j.closing) else {
-                self.writer.parts.remove(&(id, part));
+            block.mark = None;
+            if block.members.is_empty() && block.version == 0 {
                 continue;
-            };
+            }
+            let machines: Vec<(MachineId, MachineRecord)> = block
+                .members
+                .iter()
+                .filter_map(|id| Some((id.clone(), self.machines.get(id)?.info.clone())))
+                .collect();
+            let names = machines.iter().map(|(id, _)| id.clone()).collect();
+            if machines.is_empty() {
+                b.drop_key(block_key(number), block.version);
+            } else {
+                b.put(block_key(number), block.version, to_value(&MachineBlock { machines }));
+            }
+            b.entries.push(Entry::Block(number, names));
+        }
+    }
+
+    fn batch_parts(&mut self, now: Secs, b: &mut Batch) {
+        let mut due: Vec<(u8, Secs, (JobId, u32))> = Vec::new();
+        let jobs = &self.jobs;
+        self.writer.parts.retain(|(id, part), mark| {
             // A job that is complete is closed instead.
-            if job.complete() || part as usize >= job.parts.len() {
-                self.writer.parts.remove(&(id, part));
-                continue;
+            let job = jobs.get(id).filter(|j| !j.closing && !j.complete());
+            let Some(job) = job.filter(|j| (*part as usize) < j.parts.len()) else {
+                return false;
+            };
+            let class = match (mark.urgent, job.spec().kind) {
+                (true, Kind::Service) => 0,
+                (true, _) => 1,
+                (false, _) => 2,
+            };
+            if class < 2 || now - mark.since > FINISH_LAZY_S {
+                due.push((class, mark.since, (id.clone(), *part)));
             }
-            if txn.writes.len() + 1 > room || bytes > TXN_BYTES {
+            true
+        });
+        due.sort_by(|x, y| x.0.cmp(&y.0).then(x.1.total_cmp(&y.1)));
+        for (_, _, (id, part)) in due {
+            if b.full() {
                 break;
             }
-            let record = pack(job, part);
-            let value = to_value(&record);
-            bytes += encode(&value).len();
-            put(&mut txn, progress_key(&id, part), job.parts[part as usize], value);
-            entries.push(Entry::Part {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            b.put(progress_key(&id, part), job.parts[part as usize], to_value(&pack(job, part)));
+            b.entries.push(Entry::Part {
                 job: id.clone(),
                 part,
                 started: job.started.clone(),
@@ -185,7 +308,18 @@
             });
             self.writer.parts.remove(&(id, part));
         }
-        for id in self.writer.closing.clone() {
+    }
+
+    fn batch_closes(&mut self, now: Secs, age: Secs, b: &mut Batch) {
+        let mut due: Vec<(Secs, JobId)> = self
+            .writer
+            .closing
+            .iter()
+            .filter(|(_, since)| now - **since >= age)
+            .map(|(id, since)| (*since, id.clone()))
+            .collect();
+        due.sort_by(|x, y| x.0.total_cmp(&y.0));
+        for (_, id) in due {
             let Some(job) = self.jobs.get_mut(&id) else {
                 self.writer.closing.remove(&id);
                 continue;
@@ -200,70 +334,41 @@
                 self.writer.closing.remove(&id);
                 continue;
             }
-            let needs = 3 + job.parts.len();
             // A transaction holds the records of any job: 13 parts at most.
-            if txn.writes.len() + needs > room && !(txn.writes.is_empty() && room >= needs) {
+            let parts = job.parts.iter().filter(|v| **v != 0).count();
+            if b.txn.writes.len() + 2 + parts > b.room {
                 continue;
             }
             let spec = &job.record.spec;
-            txn.conds.push(Cond { key: spec_key(&id), version: job.spec_version });
             if !cancelled {
                 let end = EndRecord { cancelled: false, tasks: spec.tasks };
-                put(&mut txn, end_key(&id), 0, to_value(&end));
+                b.put(end_key(&id), 0, to_value(&end));
             } else {
-                txn.writes.push(Write::Delete { key: cut_key(&id) });
+                b.txn.writes.push(Write::Delete { key: cut_key(&id) });
             }
-            txn.writes.push(Write::Delete { key: spec_key(&id) });
+            b.drop_key(spec_key(&id), job.spec_version);
             for (part, version) in job.parts.iter().enumerate().filter(|(_, v)| **v != 0) {
-                let key = progress_key(&id, part as u32);
-                txn.conds.push(Cond { key: key.clone(), version: *version });
-                txn.writes.push(Write::Delete { key });
+                b.drop_key(progress_key(&id, part as u32), *version);
             }
             job.closing = true;
-            entries.push(Entry::Close { job: id.clone(), cancelled, tasks: spec.tasks });
+            b.entries.push(Entry::Close { job: id.clone(), cancelled, tasks: spec.tasks });
             self.writer.closing.remove(&id);
         }
-        let gone: Vec<(MachineId, u64)> =
-            self.writer.gone.iter().map(|(id, v)| (id.clone(), *v)).collect();
-        for (id, version) in gone {
-            if txn.writes.len() + 1 > room {
-                break;
-            }
-            let key = machine_key(&id);
-            txn.conds.push(Cond { key: key.clone(), version });
-            txn.writes.push(Write::Delete { key });
-            entries.push(Entry::MachineGone(id));
-        }
-        self.types_entry(now, replica, room, &mut txn, &mut entries);
-        (txn, entries)
     }
 
     // The machine types, without their moving prices, for controllers that
     // start while the cloud is down.
-    fn types_entry(
-        &mut self,
-        _now: Secs,
-        replica: &Replica,
-        room: usize,
-        txn: &mut Txn,
-        entries: &mut Vec<Entry>,
-    ) {
+    fn types_entry(&mut self, replica: &Replica, b: &mut Batch) {
         let names: String = self.hire.types.iter().map(|t| format!("{} ", t.name)).collect();
-        if self.hire.types.is_empty() || self.writer.types_key == names || txn.writes.len() >= room
-        {
+        if self.hire.types.is_empty() || self.writer.types_key == names || b.full() {
             return;
         }
         self.writer.types_key = names;
         if replica.types.as_ref().is_some_and(|t| t.len() == self.hire.types.len()) {
             return;
         }
-        txn.conds.push(Cond { key: TYPES.into(), version: replica.types_version });
-        txn.writes.push(Write::Put {
-            key: TYPES.into(),
-            value: to_value(&self.hire.types),
-            grant: None,
-        });
-        entries.push(Entry::Types);
+        b.put(TYPES.into(), replica.types_version, to_value(&self.hire.types));
+        b.entries.push(Entry::Types);
     }
 
     /// A transaction or a read of ours was answered. False: we don't lead.
@@ -307,7 +412,7 @@
             // Not executed: as it was.
             StoreResult::Refused => {
                 self.writer.next = now + STORE_RETRY_S;
-                entries.into_iter().for_each(|e| self.entry_again(e));
+                entries.into_iter().for_each(|e| self.entry_again(now, e));
             }
             // Perhaps executed, or a version wasn't what we thought: read each.
             _ => {
@@ -318,7 +423,7 @@
                     }
                     let key = match &entry {
                         Entry::Part { job, part, .. } => progress_key(job, *part),
-                        Entry::Machine(id) | Entry::MachineGone(id) => machine_key(id),
+                        Entry::Block(number, _) => block_key(*number),
                         Entry::Close { job, cancelled: false, .. } => end_key(job),
                         Entry::Close { job, .. } => spec_key(job),
                         Entry::Types => TYPES.into(),
@@ -339,7 +444,7 @@
                 part,
                 started: IntSet::new(),
                 finished: IntSet::new(),
-                machines: BTreeSet::new(),
+                machines: IntSet::new(),
             };
             self.writer.resync.push_back((progress_key(id, part), entry));
         }
@@ -364,17 +469,16 @@
                     }
                 }
             }
-            Entry::Machine(id) => {
-                if let Some(m) = self.machines.get_mut(&id) {
-                    m.recorded = Recorded::Yes(version);
-                    m.push = true;
-                } else {
-                    // Gone while its record was written.
-                    self.writer.gone.insert(id, version);
+            Entry::Block(number, names) => {
+                if let Some(block) = self.writer.blocks.get_mut(&number) {
+                    block.version = if names.is_empty() { 0 } else { version };
+                }
+                for id in names {
+                    if let Some(m) = self.machines.get_mut(&id).filter(|m| !m.recorded) {
+                        m.recorded = true;
+                        m.push = true;
+                    }
                 }
-            }
-            Entry::MachineGone(id) => {
-                self.writer.gone.remove(&id);
             }
             Entry::Close { job, cancelled, tasks } => self.closed(now, &job, cancelled, tasks),
             Entry::Types => {}
@@ -417,29 +521,14 @@
             Entry::Part { job, part, .. } => {
                 if let Some(j) = self.jobs.get_mut(&job) {
                     j.parts[part as usize] = version;
-                    self.writer.parts.insert((job, part));
+                    self.writer.touch_task(&job, part * PART_TASKS, now, true);
                 }
             }
-            Entry::Machine(id) => match self.machines.get_mut(&id) {
-                Some(m) => {
-                    m.recorded = if version == 0 { Recorded::No } else { Recorded::Yes(version) };
-                    if version == 0 {
-                        self.writer.machines.insert(id);
-                    } else {
-                        m.push = true;
-                    }
-                }
-                None if version != 0 => {
-                    self.writer.gone.insert(id, version);
-                }
-                None => {}
-            },
-            Entry::MachineGone(id) => {
-                if version == 0 {
-                    self.writer.gone.remove(&id);
-                } else {
-                    self.writer.gone.insert(id, version);
+            Entry::Block(number, names) => {
+                if let Some(block) = self.writer.blocks.get_mut(&number) {
+                    block.version = version;
                 }
+                self.entry_again(now, Entry::Block(number, names));
             }
             Entry::Close { job, cancelled: false, tasks } => {
                 match value.as_ref().map(from_value::<EndRecord>) {
@@ -451,34 +540,35 @@
                         self.cut(now, &job);
                     }
                     Some(_) => self.closed(now, &job, false, tasks),
-                    None => self.entry_again(Entry::Close { job, cancelled: false, tasks }),
+                    None => self.entry_again(now, Entry::Close { job, cancelled: false, tasks }),
                 }
             }
             Entry::Close { job, cancelled, tasks } => {
                 if value.is_none() {
                     self.closed(now, &job, cancelled, tasks);
                 } else {
-                    self.entry_again(Entry::Close { job, cancelled, tasks });
+                    self.entry_again(now, Entry::Close { job, cancelled, tasks });
                 }
             }
             Entry::Types => {}
         }
     }
 
-    fn entry_again(&mut self, entry: Entry) {
+    fn entry_again(&mut self, now: Secs, entry: Entry) {
         match entry {
             Entry::Part { job, part, .. } => {
-                self.writer.parts.insert((job, part));
+                self.writer.touch_task(&job, part * PART_TASKS, now, true);
             }
-            Entry::Machine(id) => {
-                self.writer.machines.insert(id);
+            Entry::Block(number, _) => {
+                if let Some(block) = self.writer.blocks.get_mut(&number) {
+                    Mark::merge(&mut block.mark, now, true);
+                }
             }
-            Entry::MachineGone(_) => {}
             Entry::Close { job, .. } => {
                 if let Some(j) = self.jobs.get_mut(&job) {
                     j.closing = false;
                 }
-                self.writer.closing.insert(job);
+                self.writer.close(&job, now);
             }
             Entry::Types => self.writer.types_key.clear(),
         }
@@ -493,7 +583,7 @@
         finished: PackedSet::pack(&job.finished, start, len),
         mean_ms: if first { job.mean_run().map_or(0, |m| (m * 1e3) as u64) } else { 0 },
         queue: if first { job.queue } else { None },
-        machines: if first { job.machines.iter().cloned().collect() } else { Vec::new() },
+        machines: if first { NumberSet::pack(&job.machines) } else { NumberSet::default() },
     }
 }
 
--- a/crates/proto/src/intset.rs
+++ b/crates/proto/src/intset.rs
@@ -40,6 +40,31 @@
         true
     }
 
+    /// Removes `n`; true if it was there.
+    pub fn remove(&mut self, n: u32) -> bool {
+        let i = self.ranges.partition_point(|&(_, hi)| hi < n);
+        let Some(&(lo, hi)) = self.ranges.get(i).filter(|&&(lo, _)| lo <= n) else {
+            return false;
+        };
+        match (lo == n, hi == n) {
+            (true, true) => {
+                self.ranges.remove(i);
+            }
+            (true, false) => self.ranges[i].0 = n + 1,
+            (false, true) => self.ranges[i].1 = n - 1,
+            (false, false) => {
+                self.ranges[i].1 = n - 1;
+                self.ranges.insert(i + 1, (n + 1, hi));
+            }
+        }
+        true
+    }
+
+    /// The smallest and the largest number.
+    pub fn bounds(&self) -> Option<(u32, u32)> {
+        Some((self.ranges.first()?.0, self.ranges.last()?.1))
+    }
+
     /// How many numbers are in the set.
     pub fn len(&self) -> u32 {
         self.ranges.iter().map(|&(lo, hi)| hi - lo + 1).sum()
@@ -124,13 +149,19 @@
 
         #[test]
         fn behaves_as_a_set_and_survives_packing(
-            ns in proptest::collection::vec(0u32..300, 0..200)
+            ns in proptest::collection::vec((0u32..300, 0u8..4), 0..300)
         ) {
             let mut set = IntSet::new();
             let mut model = BTreeSet::new();
-            for n in ns {
-                prop_assert_eq!(set.insert(n), model.insert(n));
+            for (n, what) in ns {
+                if what == 0 {
+                    prop_assert_eq!(set.remove(n), model.remove(&n));
+                } else {
+                    prop_assert_eq!(set.insert(n), model.insert(n));
+                }
             }
+            let bounds = model.first().copied().zip(model.last().copied());
+            prop_assert_eq!(set.bounds(), bounds);
             prop_assert_eq!(set.iter().collect::<Vec<_>>(), model.iter().copied().collect::<Vec<_>>());
             prop_assert_eq!(set.len() as usize, model.len());
             for n in 0..300 {
--- a/crates/proto/src/job.rs
+++ b/crates/proto/src/job.rs
@@ -29,7 +29,7 @@
 }
 
 /// A job's priority, lowest first.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Hash, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
 pub enum Priority {
     /// Runs when nothing else wants the room.
     #[serde(rename = "idle")]
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -5,7 +5,7 @@
 //! `p/` is progress, written by the leader alone; `m/` the machines it used.
 
 use crate::ids::{JobId, MachineId, NodeId};
-use crate::intset::PackedSet;
+use crate::intset::{IntSet, PackedSet};
 use serde::{Deserialize, Serialize};
 
 /// Prefix of all that is watched.
@@ -47,9 +47,9 @@
 pub fn progress_key(id: &JobId, part: u32) -> String {
     format!("{PROGRESS}{id}/{part:03}")
 }
-/// Key of a machine record.
-pub fn machine_key(id: &MachineId) -> String {
-    format!("{MACHINES}{id}")
+/// Key of a block of machine records.
+pub fn block_key(block: u32) -> String {
+    format!("{MACHINES}{block:05}")
 }
 /// Reads a progress key.
 pub fn parse_progress_key(key: &str) -> Option<(JobId, u32)> {
@@ -110,9 +110,45 @@
     /// The queue the job was sorted into. In part 0 only.
     #[serde(default)]
     pub queue: Option<u8>,
-    /// Machines that tasks of the job may be on. In part 0 only.
+    /// Machines that tasks of the job may be on, by number. In part 0 only.
     #[serde(default)]
-    pub machines: Vec<MachineId>,
+    pub machines: NumberSet,
+}
+
+/// The stored form of a set of machine numbers: a job of many hundred tasks
+/// names as many machines, and their names would outgrow a value of the store.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct NumberSet {
+    /// The smallest number.
+    #[serde(default)]
+    pub from: u32,
+    /// From the smallest to the largest.
+    #[serde(default)]
+    pub len: u32,
+    /// The numbers, relative to the smallest.
+    #[serde(default)]
+    pub set: PackedSet,
+}
+
+/// Most numbers that a set may span: a bit map of so many bits is 4 KiB.
+pub const NUMBERS_SPAN: u32 = 32_768;
+
+impl NumberSet {
+    /// Packs a set.
+    pub fn pack(set: &IntSet) -> Self {
+        let Some((from, last)) = set.bounds() else { return Self::default() };
+        let len = last - from + 1;
+        Self { from, len, set: PackedSet::pack(set, from, len) }
+    }
+
+    /// The set again. Nonsense is skipped.
+    pub fn unpack(&self) -> IntSet {
+        let mut set = IntSet::new();
+        if self.from.checked_add(self.len).is_some() {
+            self.set.unpack(self.from, self.len, &mut set);
+        }
+        set
+    }
 }
 
 /// A machine that has been given tasks.
@@ -129,4 +165,15 @@
     /// Images it is thought to hold, most recent last.
     #[serde(default)]
     pub images: Vec<String>,
+    /// The number that jobs' records name it by; given out once, rising.
+    #[serde(default)]
+    pub number: u32,
+}
+
+/// Some machine records together: a fleet of hundreds, recorded one by one,
+/// would take the store's change rate for half a minute.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct MachineBlock {
+    /// The machines and their records.
+    pub machines: Vec<(MachineId, MachineRecord)>,
 }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -22,12 +22,23 @@
 pub const ANSWER_TIME: Duration = Duration::from_millis(3_500);
 /// Stack of a connection's thread, bytes (only what is touched is held).
 pub const STACK: usize = 160 * 1024;
-/// Connections per MB of the memory limit: about 40 KB each with buffers.
-pub const CONNECTIONS_PER_MB: f64 = 4.0;
-/// Sockets kept for the program's own connections.
-pub const OWN_SOCKETS: usize = 128;
+/// Share of the memory limit that connections may take.
+pub const CONNECTIONS_SHARE: f64 = 0.6;
+/// Memory of a connection with its thread and buffers, KB: measured with 1,000
+/// idle ones, and half as much again.
+pub const CONNECTION_KB: f64 = 24.0;
+/// Sockets kept for the program's own connections: state service, cloud,
+/// peers, direct commands, listeners.
+pub const OWN_SOCKETS: usize = 112;
+/// Beyond this share of the connections allowed, those of users are closed
+/// after each answer: every worker needs one, and users can connect elsewhere.
+pub const CROWDED_SHARE: f64 = 0.6;
 /// Events that may wait for the owner.
 pub const QUEUE: usize = 1_024;
+/// Polls and cancels are refused when so many wait already: reports outrank them.
+pub const QUEUE_POLL: usize = 640;
+/// Submissions are refused when so many wait already: polls outrank them.
+pub const QUEUE_SUBMIT: usize = 320;
 /// Events taken in one batch.
 pub const BATCH: usize = 256;
 /// Threads that ask the state service.
@@ -49,13 +60,16 @@
 pub const WATCH_MS: u64 = 2_500;
 /// Answer of a watch, beyond its blocking.
 pub const WATCH_SLACK: Duration = Duration::from_millis(1_500);
+/// Pause between two watches: changes that come together are taken together,
+/// and each opened watch counts as a request of the state service.
+pub const WATCH_PAUSE: Duration = Duration::from_millis(20);
 /// Wait before a failed watch is tried again.
 pub const WATCH_RETRY: Duration = Duration::from_millis(300);
 /// Answer of the cloud.
 pub const CLOUD_TIME: Duration = Duration::from_secs(3);
 /// Answer of a worker to direct commands.
 pub const DIRECT_TIME: Duration = Duration::from_millis(1_500);
-/// A thread for a worker ends when it had nothing to send for so long.
+/// A thread for direct commands ends when it had nothing to send for so long.
 pub const DIRECT_IDLE: Duration = Duration::from_secs(15);
 /// A kept connection idle longer is looked at before it is used again.
 pub const STALE_AFTER: Duration = Duration::from_millis(800);
--- a/src/links.rs
+++ b/src/links.rs
@@ -6,13 +6,14 @@
 use crate::limits::*;
 use crate::owner::Inbox;
 use crate::peers::Peers;
-use marblebarrow_core::consts::PAGE_LIMIT;
+use marblebarrow_core::consts::{DIRECT_MAX, PAGE_LIMIT};
 use marblebarrow_core::event::*;
 use marblebarrow_proto::cbor;
 use marblebarrow_proto::records::WATCHED;
 use marblebarrow_proto::wire::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -176,6 +177,7 @@
             let answer: WatchAnswer = cbor::decode(&body).map_err(|_| ())?;
             if !answer.events.is_empty() {
                 inbox.tell(Event::Watch(WatchNews::Events(answer.events)));
+                thread::sleep(WATCH_PAUSE);
             }
             Ok(Some(answer.revision.max(after)))
         }
@@ -250,17 +252,30 @@
     }
 }
 
-/// The way to the workers: a thread for each that has something to be told,
-/// so that a silent one holds up no other.
+/// The way to the workers: a thread for each command under way, so that a
+/// silent worker holds up no other. Their number is the core's to bound
+/// (`DIRECT_MAX`); with a thread and a socket kept for every worker, a fleet of
+/// a thousand would take more of both than a controller has.
 pub struct DirectLink {
-    threads: HashMap<SocketAddr, SyncSender<(OpId, DirectCommands)>>,
+    tx: SyncSender<DirectJob>,
+    queue: Queue<DirectJob>,
+    idle: Arc<AtomicUsize>,
     inbox: Inbox,
 }
 
+/// Commands and where they go.
+struct DirectJob {
+    op: OpId,
+    addr: SocketAddr,
+    commands: DirectCommands,
+}
+
 impl DirectLink {
     /// A link without threads yet.
     pub fn new(inbox: &Inbox) -> Self {
-        Self { threads: HashMap::new(), inbox: inbox.clone() }
+        let (tx, rx) = sync_channel(DIRECT_MAX);
+        let queue = Arc::new(Mutex::new(rx));
+        Self { tx, queue, idle: Arc::new(AtomicUsize::new(0)), inbox: inbox.clone() }
     }
 
     /// Hands over commands; the event is the answer if they can't be taken.
@@ -276,32 +291,39 @@
         let Ok(addr) = addr.parse::<SocketAddr>() else {
             return failed;
         };
-        let mut message = (op, DirectCommands { token, session, commands });
-        if let Some(tx) = self.threads.get(&addr) {
-            match tx.try_send(message) {
-                Ok(()) => return None,
-                Err(std::sync::mpsc::TrySendError::Full(_)) => return failed,
-                // It ended for want of work.
-                Err(std::sync::mpsc::TrySendError::Disconnected(m)) => message = m,
+        let job = DirectJob { op, addr, commands: DirectCommands { token, session, commands } };
+        // A waiting thread is claimed before the job is queued, so that no two
+        // jobs count on the same one.
+        let claim = |n: usize| n.checked_sub(1);
+        if self.idle.fetch_update(Ordering::AcqRel, Ordering::Acquire, claim).is_err() {
+            let (queue, idle, inbox) = (self.queue.clone(), self.idle.clone(), self.inbox.clone());
+            if spawn("direct", move || direct_thread(&queue, &idle, &inbox)).is_err() {
+                return failed;
             }
         }
-        self.threads.retain(|a, _| *a != addr);
-        let (tx, rx) = sync_channel(2);
-        if tx.try_send(message).is_err() {
-            return failed;
-        }
-        let inbox = self.inbox.clone();
-        if spawn("direct", move || direct_thread(addr, &rx, &inbox)).is_err() {
+        if self.tx.try_send(job).is_err() {
+            self.idle.fetch_add(1, Ordering::AcqRel);
             return failed;
         }
-        self.threads.insert(addr, tx);
         None
     }
 }
 
-fn direct_thread(addr: SocketAddr, rx: &Receiver<(OpId, DirectCommands)>, inbox: &Inbox) {
-    let mut client = Client::new(addr);
-    while let Ok((op, commands)) = rx.recv_timeout(DIRECT_IDLE) {
+fn direct_thread(queue: &Queue<DirectJob>, idle: &AtomicUsize, inbox: &Inbox) {
+    loop {
+        let job = match queue.lock() {
+            Ok(q) => q.recv_timeout(DIRECT_IDLE),
+            Err(_) => return,
+        };
+        let Ok(DirectJob { op, addr, commands }) = job else {
+            // Ends only if nobody counts on it.
+            let claim = |n: usize| n.checked_sub(1);
+            if idle.fetch_update(Ordering::AcqRel, Ordering::Acquire, claim).is_ok() {
+                return;
+            }
+            continue;
+        };
+        let mut client = Client::new(addr);
         let result = match client.call("POST", "/do", &cbor::encode(&commands), DIRECT_TIME) {
             Ok((status @ (200 | 409), body)) => match cbor::decode::<Report>(&body) {
                 Ok(report) => DirectResult::Report(status == 200, Box::new(report)),
@@ -311,6 +333,8 @@
             Ok(_) | Err(CallError::Unknown) => DirectResult::Unknown,
             Err(CallError::NotSent) => DirectResult::NotSent,
         };
+        drop(client);
+        idle.fetch_add(1, Ordering::AcqRel);
         inbox.tell(Event::Direct(op, result));
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -24,7 +24,7 @@
 fn serve(settings: Settings) -> std::io::Result<()> {
     let (inbox, rx) = owner::Inbox::channel();
     let listener = std::net::TcpListener::bind(settings.listen)?;
-    let by_memory = (settings.memory_mb * CONNECTIONS_PER_MB) as usize;
+    let by_memory = (settings.memory_mb * CONNECTIONS_SHARE * 1024.0 / CONNECTION_KB) as usize;
     let most = by_memory.min(settings.max_sockets.saturating_sub(OWN_SOCKETS)).max(16);
     let links = links::Links {
         store: links::StoreLink::start(settings.state, &inbox)?,
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -9,6 +9,8 @@
 use marblebarrow_core::node::Node;
 use marblebarrow_proto::wire::Report;
 use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -41,33 +43,74 @@
 
 /// The way to the owner.
 #[derive(Clone, Debug)]
-pub struct Inbox(SyncSender<Message>);
+pub struct Inbox {
+    tx: SyncSender<Message>,
+    depth: Arc<AtomicUsize>,
+}
+
+/// The owner's end of its queue.
+#[derive(Debug)]
+pub struct Outbox {
+    rx: Receiver<Message>,
+    depth: Arc<AtomicUsize>,
+}
+
+impl Outbox {
+    fn took(&self, m: Message) -> Message {
+        self.depth.fetch_sub(1, Ordering::Relaxed);
+        m
+    }
+}
 
 impl Inbox {
     /// A queue and its two ends.
-    pub fn channel() -> (Self, Receiver<Message>) {
+    pub fn channel() -> (Self, Outbox) {
         let (tx, rx) = sync_channel(QUEUE);
-        (Self(tx), rx)
+        let depth = Arc::new(AtomicUsize::new(0));
+        (Self { tx, depth: depth.clone() }, Outbox { rx, depth })
     }
 
-    /// Asks and waits. Too full or too slow: says so at once.
+    /// Asks and waits. Too full or too slow: says so at once. Room is kept for
+    /// those that outrank: submissions are refused first, reports last.
     pub fn ask(&self, ask: Ask, wait: Duration) -> Answer {
+        let most = match &ask {
+            Ask::Report(_) | Ask::User(UserRequest::Health) => QUEUE,
+            Ask::User(UserRequest::Submit(_)) => QUEUE_SUBMIT,
+            Ask::User(_) => QUEUE_POLL,
+        };
+        if self.depth.load(Ordering::Relaxed) >= most {
+            return Answer::Full(RETRY_FULL_S);
+        }
         let (tx, rx) = sync_channel(1);
-        match self.0.try_send(Message::Ask(ask, tx)) {
+        self.depth.fetch_add(1, Ordering::Relaxed);
+        match self.tx.try_send(Message::Ask(ask, tx)) {
             Ok(()) => rx.recv_timeout(wait).unwrap_or(Answer::Unavailable(RETRY_STORE_S)),
-            Err(TrySendError::Full(_)) => Answer::Full(RETRY_FULL_S),
-            Err(TrySendError::Disconnected(_)) => Answer::Unavailable(RETRY_STORE_S),
+            Err(e) => {
+                self.depth.fetch_sub(1, Ordering::Relaxed);
+                match e {
+                    TrySendError::Full(_) => Answer::Full(RETRY_FULL_S),
+                    TrySendError::Disconnected(_) => Answer::Unavailable(RETRY_STORE_S),
+                }
+            }
         }
     }
 
     /// Tells; waits for room in the queue.
     pub fn tell(&self, event: Event) {
-        let _ = self.0.send(Message::Event(event));
+        self.depth.fetch_add(1, Ordering::Relaxed);
+        if self.tx.send(Message::Event(event)).is_err() {
+            self.depth.fetch_sub(1, Ordering::Relaxed);
+        }
     }
 
     /// Tells without waiting; false if there is no room.
     pub fn offer(&self, message: Message) -> bool {
-        self.0.try_send(message).is_ok()
+        self.depth.fetch_add(1, Ordering::Relaxed);
+        let sent = self.tx.try_send(message).is_ok();
+        if !sent {
+            self.depth.fetch_sub(1, Ordering::Relaxed);
+        }
+        sent
     }
 }
 
@@ -79,7 +122,7 @@
 /// The owner.
 pub struct Owner {
     node: Node,
-    rx: Receiver<Message>,
+    rx: Outbox,
     links: Links,
     start: Instant,
     waiting: HashMap<ReplyTo, Waiting>,
@@ -88,7 +131,7 @@
 
 impl Owner {
     /// An owner of a fresh state.
-    pub fn new(facts: Facts, rx: Receiver<Message>, links: Links) -> Self {
+    pub fn new(facts: Facts, rx: Outbox, links: Links) -> Self {
         Self {
             node: Node::new(facts, rand::random::<u64>() >> 1, 0.0),
             rx,
@@ -108,16 +151,16 @@
         let mut wake = 0.0;
         loop {
             let wait = Duration::from_secs_f64((wake - self.now()).clamp(0.001, 1.0));
-            let first = match self.rx.recv_timeout(wait) {
-                Ok(m) => Some(m),
+            let first = match self.rx.rx.recv_timeout(wait) {
+                Ok(m) => Some(self.rx.took(m)),
                 Err(RecvTimeoutError::Timeout) => None,
                 Err(RecvTimeoutError::Disconnected) => return,
             };
             let mut batch: Vec<Message> = first.into_iter().collect();
             while batch.len() < BATCH
-                && let Ok(m) = self.rx.try_recv()
+                && let Ok(m) = self.rx.rx.try_recv()
             {
-                batch.push(m);
+                batch.push(self.rx.took(m));
             }
             // Polls and reports outrank submissions.
             let submission =
--- a/src/server.rs
+++ b/src/server.rs
@@ -46,9 +46,10 @@
             continue;
         }
         let (inbox, open2) = (inbox.clone(), open.clone());
+        let crowd = (most as f64 * CROWDED_SHARE) as usize;
         let spawned = thread::Builder::new().stack_size(STACK).spawn(move || {
             if let Ok(conn) = Conn::new(stream) {
-                converse(conn, &inbox);
+                converse(conn, &inbox, || open2.load(Ordering::Relaxed) > crowd);
             }
             open2.fetch_sub(1, Ordering::Relaxed);
         });
@@ -65,11 +66,13 @@
     }
 }
 
-fn converse(mut conn: Conn, inbox: &Inbox) {
+fn converse(mut conn: Conn, inbox: &Inbox, crowded: impl Fn() -> bool) {
     loop {
         let (response, close) = match conn.read_request(IDLE_TIME) {
             Ok(req) => {
-                let close = req.close;
+                // Workers need their connections; where these are short, users
+                // make a new one for each question.
+                let close = req.close || req.path != "/hello" && crowded();
                 (route(&req, inbox), close)
             }
             Err(ReadError::Closed | ReadError::Io(_) | ReadError::TooSlow) => return,
