Let ends of jobs not starve; swap ordinary for spot; prove that workers hear us

An end takes several changes at once; under a budget of one change a flush, single ones always went first.

Change: an overdue end saves up its changes; records of ended jobs are dropped lazily, also those a new leader finds. A job never begun after 60 s goes first with one task; hopeless ones are last for two minutes at most. A controller without store and peers fails its health check. New sessions have their lease whole, late copies and workers that begin anew are told apart by a fresh exchange; all with generated troubles in the cluster test.

Ruled out: machines short (idle ones stood by), lateness of reports.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -194,6 +194,13 @@
 /// Tasks that ran longer than this are not stopped for it, seconds: their loss
 /// would be the greater harm.
 pub const GUARANTEE_LOSS_S: f64 = 10.0;
+/// A job of which nothing was ever started for this long, seconds, goes before
+/// all queues with one task: weights share machines, but promise no one a
+/// beginning.
+pub const BEGIN_LATEST_S: f64 = 60.0;
+/// A job past all its deadlines goes last for this long after its arrival,
+/// seconds; then in its turn again.
+pub const HOPELESS_LAST_S: f64 = 120.0;
 /// Least time between two placement passes, seconds.
 pub const PLACE_EVERY_S: f64 = 0.04;
 /// And per machine known, seconds: a pass looks at all of them, while a machine
@@ -227,6 +234,14 @@
 /// Idle machines are kept longer by the time that fetching their images took,
 /// since their next user is spared it, but by no more than this, seconds.
 pub const IDLE_IMAGES_S: f64 = 60.0;
+/// The same for ordinary machines, whose idle second costs twice as much.
+pub const IDLE_IMAGES_ORDINARY_S: f64 = 20.0;
+/// Arrays that keep ordinary machines busy for this long, seconds, are worth
+/// spot machines in their place: that pays for boots and fetches in a minute.
+pub const SWAP_AFTER_S: f64 = 20.0;
+/// Share of those CPUs that is rented as spot at a time; also the least CPUs
+/// worth it, in machines.
+pub const SWAP_SHARE: f64 = 0.3;
 /// A machine costs this long at least (protocol page), seconds.
 pub const LEAST_BILL_S: f64 = 60.0;
 /// A boot of more than this many times the usual is given up.
@@ -235,6 +250,8 @@
 pub const NO_CAPACITY_S: f64 = 15.0;
 /// Replicas are moved together, to return a machine, at most so often, seconds.
 pub const GATHER_EVERY_S: f64 = 4.0;
+/// In a fleet of more than this many machines the pause shrinks in proportion.
+pub const GATHER_FLEET: f64 = 40.0;
 /// A replica is not moved before it has run this long, seconds: a start that is
 /// stopped within half a minute counts for nobody.
 pub const GATHER_AGE_S: f64 = 35.0;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -53,6 +53,8 @@
     pub notice: Option<Secs>,
     /// A release is asked for.
     pub releasing: bool,
+    /// Its worker began anew under the same name; its words count no more.
+    pub reborn: bool,
     /// Something new is to be sent.
     pub push: bool,
     /// Ended tasks that it still lists, and why they ended.
@@ -113,6 +115,7 @@
             cordoned: false,
             notice: None,
             releasing: false,
+            reborn: false,
             push: false,
             exited: BTreeMap::new(),
             direct: None,
--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -85,8 +85,11 @@
             }
             let rate = m.fetch_rate.max(1e-3);
             let fetches = m.images.iter().map(|(_, gb)| gb / rate).sum::<f64>();
-            let patience = if m.info.spot { IDLE_SPOT_S } else { self.facts.tuning.idle_s }
-                + fetches.min(IDLE_IMAGES_S);
+            let patience = if m.info.spot {
+                IDLE_SPOT_S + fetches.min(IDLE_IMAGES_S)
+            } else {
+                self.facts.tuning.idle_s + fetches.min(IDLE_IMAGES_ORDINARY_S)
+            };
             let unneeded = m.tasks.is_empty()
                 && m.exited.is_empty()
                 && m.direct.is_none()
@@ -134,7 +137,8 @@
         if !self.fits_elsewhere(now, &id) || !self.warm_without(now, &id) {
             return;
         }
-        self.hire.next_gather = now + GATHER_EVERY_S;
+        let crowd = (self.machines.len() as f64 / GATHER_FLEET).max(1.0);
+        self.hire.next_gather = now + GATHER_EVERY_S / crowd;
         let Some(m) = self.machines.get_mut(&id) else { return };
         m.cordoned = true;
         m.push = true;
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -9,7 +9,7 @@
 use marblebarrow_proto::ids::MachineId;
 use marblebarrow_proto::job::{JobSpec, Kind};
 use marblebarrow_proto::wire::{ListedMachine, ListedState, MachineType, Rent};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// A machine that was rented or listed, and hasn't reported.
 #[derive(Debug)]
@@ -67,6 +67,8 @@
     pub(crate) next_log: Secs,
     pub(crate) office_at: Secs,
     pub(crate) next_gather: Secs,
+    /// CPUs that arrays kept busy on machines that services don't need, lately.
+    pub(crate) swap: VecDeque<(Secs, f64)>,
 }
 
 impl Hire {
@@ -96,6 +98,7 @@
             next_log: now,
             office_at: now,
             next_gather: now + GATHER_AGE_S,
+            swap: VecDeque::new(),
         }
     }
 
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -25,6 +25,8 @@
 pub(crate) struct DirectSent {
     pub machine: MachineId,
     pub session: u64,
+    /// Session and number of the newest message known at sending.
+    pub known: (u64, u64),
     pub starts: Vec<TaskId>,
 }
 
@@ -331,7 +333,28 @@
             m.reached = Some(now);
             m.hail = false;
         }
+        if let DirectResult::Report(_, report) = &result
+            && (report.session, report.seq) <= sent.known
+        {
+            // The answer to a question of ours can't be a late copy, and yet it
+            // counts from below what we knew: the worker itself began anew. Its
+            // numbers no longer tell old from new, and orders held back for the
+            // one before match its session, so nothing but its release proves
+            // what doesn't run there. (A copy of its former self's list once
+            // was believed, and a task ran twice.)
+            self.log.push(format!("event=reborn machine={} term={}", sent.machine, self.term.0));
+            m.reborn = true;
+            m.cordoned = true;
+            m.releasing = true;
+            m.hail = false;
+            m.answered = now;
+            self.hire.release.insert(sent.machine);
+            return;
+        }
         let unknown = result == DirectResult::Unknown;
+        let Some(m) = self.machines.get_mut(&sent.machine) else {
+            return;
+        };
         match result {
             DirectResult::Report(_, report) => {
                 self.absorb(now, &report);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -191,10 +191,13 @@
     }
 
     // Healthy if the store serves us, or serves nobody: in an outage of the
-    // store no controller is better than another.
+    // store no controller is better than another. One that neither the store
+    // serves nor any peer is heard by is the one cut off.
     fn health(&mut self, now: Secs, to: ReplyTo) {
-        let peer_served = self.peers_ok.values().any(|&(at, ok)| ok && now - at < BEAT_FRESH_S);
-        let healthy = self.replica.synced && !(self.store_bad() && peer_served);
+        let mut heard = self.peers_ok.values().filter(|(at, _)| now - at < BEAT_FRESH_S).peekable();
+        let alone = heard.peek().is_none() && !self.facts.others.is_empty();
+        let better = alone || heard.any(|&(_, ok)| ok);
+        let healthy = self.replica.synced && !(self.store_bad() && better);
         let answer = if healthy { Answer::Healthy } else { Answer::Unavailable(RETRY_STORE_S) };
         self.out.reply(to, answer);
     }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -122,6 +122,7 @@
         };
         self.place_services(&mut pass);
         self.place_gangs(&mut pass);
+        self.place_overdue(&mut pass);
         // First those within their team's guarantee, then all.
         for guaranteed in [true, false] {
             // Where machines are short, fetches are what they are short for:
@@ -232,6 +233,29 @@
         Vec::new()
     }
 
+    /// One task of each job that waited too long for its first.
+    fn place_overdue(&mut self, pass: &mut Pass) {
+        let mut ids: Vec<(Secs, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, j)| {
+                j.spec().kind == Kind::Array
+                    && j.started.is_empty()
+                    && pass.now - j.arrived > BEGIN_LATEST_S
+                    && j.waiting() > 0
+            })
+            .map(|(id, j)| (j.arrived, id.clone()))
+            .collect();
+        ids.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (_, id) in ids {
+            let serve = match self.jobs.get(&id).map(|j| j.queue) {
+                Some(None) => Serve::Pilots,
+                _ => Serve::All,
+            };
+            self.place_next(pass, &id, serve, false, Images::Any);
+        }
+    }
+
     fn place_arrays(&mut self, pass: &mut Pass, guaranteed: bool, images: Images) {
         let now = pass.now;
         let mut queues: Vec<Vec<(u8, Secs, JobId, Serve)>> = vec![Vec::new(); QUEUES];
@@ -326,6 +350,7 @@
             slacks.push(slack(1.0));
         }
         match slacks.into_iter().filter(|s| *s >= 0.0).min_by(f64::total_cmp) {
+            None if now - job.arrived > HOPELESS_LAST_S => 1,
             None => 2,
             // Its last task takes longer than the mean.
             Some(s) if s - run * (RUN_SPREAD - 1.0) < URGENT_SLACK_S => 0,
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -109,6 +109,11 @@
                 continue;
             };
             let Some(job) = self.jobs.get_mut(&id) else {
+                // Its job is over, or its watch event is yet to come, which
+                // the condition on its version then tells.
+                if !replica.specs.contains_key(&id) {
+                    self.writer.discard(item.key, item.version);
+                }
                 continue;
             };
             if let Ok(record) = from_value::<ProgressRecord>(&item.value) {
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -5,7 +5,7 @@
 use crate::event::{CloudRequest, Out, Secs};
 use crate::hire::Pending;
 use crate::leader::Leader;
-use marblebarrow_proto::ids::MachineId;
+use marblebarrow_proto::ids::{JobId, MachineId};
 use marblebarrow_proto::job::{JobSpec, Kind};
 use marblebarrow_proto::wire::{MachineType, Rent};
 use std::cmp::Reverse;
@@ -129,6 +129,7 @@
         // What is left of a machine thought of for one job serves the next.
         let mut thought: Vec<Room> = Vec::new();
         let mut plan: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
+        self.swap(now, &rooms, &mut plan);
         let all: u32 = lacking.iter().map(|(_, n)| n).sum();
         let most = PLAN_MAX.max((f64::from(all) * PLAN_SHARE) as usize);
         for (spec, count) in lacking {
@@ -151,6 +152,52 @@
         }
     }
 
+    /// Spot machines in the place of ordinary ones that arrays have kept busy
+    /// for a while: new tasks go to the former, the latter fall idle and are
+    /// returned.
+    fn swap(
+        &mut self,
+        now: Secs,
+        rooms: &[Room],
+        plan: &mut BTreeMap<(String, String, bool), u32>,
+    ) {
+        let mut busy = 0.0;
+        let mut of: BTreeMap<&JobId, u32> = BTreeMap::new();
+        for m in self.machines.values().filter(|m| !m.info.spot && m.services == 0) {
+            for task in &m.tasks {
+                if let Some(j) = self.jobs.get(&task.job).filter(|j| j.spec().spot) {
+                    busy += j.spec().cpus;
+                    *of.entry(&task.job).or_default() += 1;
+                }
+            }
+        }
+        let shape = of.iter().max_by_key(|(_, n)| **n).and_then(|(id, _)| self.jobs.get(*id));
+        let shape = shape.map(|j| j.spec().clone());
+        let seen = &mut self.hire.swap;
+        seen.push_back((now, busy));
+        while seen.front().is_some_and(|(at, _)| now - at > SWAP_AFTER_S) {
+            seen.pop_front();
+        }
+        let Some(spec) = shape.filter(|_| seen.len() as f64 * FLEET_EVERY_S >= SWAP_AFTER_S * 0.8)
+        else {
+            return;
+        };
+        let steady = seen.iter().map(|(_, b)| *b).fold(f64::INFINITY, f64::min);
+        let spare: f64 = rooms.iter().filter(|r| r.spot).map(|r| r.free[0].max(0.0)).sum();
+        let mut want = steady * SWAP_SHARE - spare;
+        for _ in 0..PLAN_MAX {
+            if want <= 0.0 {
+                return;
+            }
+            let Some((room, key)) = self.choose(now, &spec, u32::MAX) else { return };
+            if !room.spot || want < room.free[0] {
+                return;
+            }
+            want -= room.free[0];
+            *plan.entry(key).or_default() += 1;
+        }
+    }
+
     /// Array tasks that will be late unless more is rented: waiting tasks are
     /// laid, most pressing job first, onto the CPUs as they come free.
     fn late_tasks(
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -29,9 +29,18 @@
         let late = known.is_some_and(|m| {
             (report.session, report.seq) <= (m.session, m.reported)
                 || report.session < m.session
+                || report.token < m.token
+                || m.reborn
                 || m.lapsed.is_some_and(|s| report.session <= s)
         });
         if late {
+            // Or its worker began anew, which only a fresh exchange can tell.
+            if let Some(m) = self.machines.get_mut(&report.machine)
+                && !m.reborn
+                && m.reached.is_none_or(|at| now - at > WORKER_MARGIN_S)
+            {
+                m.hail = true;
+            }
             return None;
         }
         self.absorb(now, report);
@@ -100,6 +109,10 @@
         }
         if m.lapsed.is_some_and(|s| report.session <= s)
             || (report.session, report.seq) <= (m.session, m.seq)
+            // The highest token seen never falls: newer by its number, older
+            // by its token, it comes from before the worker began anew.
+            || report.token < m.token
+            || m.reborn
         {
             return;
         }
@@ -120,6 +133,12 @@
         if m.heard.is_none() || m.lapsed.is_some() || m.session != report.session {
             self.place_due = true;
         }
+        if m.session != report.session {
+            // Its lease counts from when the session began, which may be just
+            // now: counted from our last answer to the one before, it once
+            // seemed to end while tasks ran on.
+            m.answered = now;
+        }
         m.lapsed = None;
         m.session = report.session;
         m.seq = report.seq;
@@ -506,6 +525,7 @@
         };
         let op = out.op();
         m.direct = Some(op);
+        let known = (m.session, m.seq);
         out.actions.push(Action::Direct {
             op,
             addr: m.info.addr.clone(),
@@ -513,7 +533,7 @@
             session,
             commands,
         });
-        self.directs.insert(op, DirectSent { machine: id.clone(), session, starts });
+        self.directs.insert(op, DirectSent { machine: id.clone(), session, known, starts });
     }
 
     /// Machines that are heard but haven't shown for long that they hear us are
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -34,6 +34,8 @@
         cancelled: bool,
         tasks: u32,
     },
+    /// A record of no more use, and its version.
+    Garbage(String, u64),
     Types,
 }
 
@@ -67,6 +69,8 @@
     blocks: BTreeMap<u32, Block>,
     closing: BTreeMap<JobId, Secs>,
     closed: VecDeque<(JobId, u64)>,
+    /// Records of jobs that are over, and their versions.
+    garbage: BTreeMap<String, u64>,
     running: Option<(OpId, Vec<Entry>)>,
     /// Keys whose version must be read again, and the read under way.
     resync: VecDeque<(String, Entry)>,
@@ -87,6 +91,7 @@
             blocks: BTreeMap::new(),
             closing: BTreeMap::new(),
             closed: VecDeque::new(),
+            garbage: BTreeMap::new(),
             running: None,
             resync: VecDeque::new(),
             reading: None,
@@ -171,6 +176,11 @@
         self.closing.entry(id.clone()).or_insert(now);
     }
 
+    /// A record of no more use is there at that version.
+    pub(crate) fn discard(&mut self, key: String, version: u64) {
+        self.garbage.insert(key, version);
+    }
+
     /// Whether that very job was closed: the watch may still show it.
     pub(crate) fn closed(&self, id: &JobId, version: u64) -> bool {
         self.closed.iter().any(|(j, v)| j == id && *v == version)
@@ -239,11 +249,22 @@
         if b.room == 0 {
             return b;
         }
-        self.batch_closes(now, CLOSE_LATEST_S, &mut b);
+        if !self.batch_closes(now, CLOSE_LATEST_S, &mut b) && b.txn.writes.is_empty() {
+            // Saves up for an end that is overdue: it takes several changes at
+            // once, and single ones that always went before it once held up
+            // all ends for minutes.
+            return b;
+        }
         self.batch_blocks(now, true, &mut b);
         self.batch_parts(now, &mut b);
         self.batch_closes(now, 0.0, &mut b);
         self.batch_blocks(now, false, &mut b);
+        while !b.full()
+            && let Some((key, version)) = self.writer.garbage.pop_first()
+        {
+            b.entries.push(Entry::Garbage(key.clone(), version));
+            b.drop_key(key, version);
+        }
         self.types_entry(replica, &mut b);
         b
     }
@@ -310,7 +331,9 @@
         }
     }
 
-    fn batch_closes(&mut self, now: Secs, age: Secs, b: &mut Batch) {
+    /// Adds ends that have waited so long; false if one found no room.
+    fn batch_closes(&mut self, now: Secs, age: Secs, b: &mut Batch) -> bool {
+        let mut all = true;
         let mut due: Vec<(Secs, JobId)> = self
             .writer
             .closing
@@ -334,9 +357,8 @@
                 self.writer.closing.remove(&id);
                 continue;
             }
-            // A transaction holds the records of any job: 13 parts at most.
-            let parts = job.parts.iter().filter(|v| **v != 0).count();
-            if b.txn.writes.len() + 2 + parts > b.room {
+            if b.txn.writes.len() + 2 > b.room {
+                all = false;
                 continue;
             }
             let spec = &job.record.spec;
@@ -347,13 +369,11 @@
                 b.txn.writes.push(Write::Delete { key: cut_key(&id) });
             }
             b.drop_key(spec_key(&id), job.spec_version);
-            for (part, version) in job.parts.iter().enumerate().filter(|(_, v)| **v != 0) {
-                b.drop_key(progress_key(&id, part as u32), *version);
-            }
             job.closing = true;
             b.entries.push(Entry::Close { job: id.clone(), cancelled, tasks: spec.tasks });
             self.writer.closing.remove(&id);
         }
+        all
     }
 
     // The machine types, without their moving prices, for controllers that
@@ -418,14 +438,12 @@
             _ => {
                 self.writer.next = now + STORE_RETRY_S;
                 for entry in entries {
-                    if let Entry::Close { job, .. } = &entry {
-                        self.resync_parts(&job.clone());
-                    }
                     let key = match &entry {
                         Entry::Part { job, part, .. } => progress_key(job, *part),
                         Entry::Block(number, _) => block_key(*number),
                         Entry::Close { job, cancelled: false, .. } => end_key(job),
                         Entry::Close { job, .. } => spec_key(job),
+                        Entry::Garbage(key, _) => key.clone(),
                         Entry::Types => TYPES.into(),
                     };
                     self.writer.resync.push_back((key, entry));
@@ -435,21 +453,6 @@
         true
     }
 
-    // A close depends on the version of every part.
-    fn resync_parts(&mut self, id: &JobId) {
-        let parts = self.jobs.get(id).map_or(0, |j| j.parts.len() as u32);
-        for part in 0..parts {
-            let entry = Entry::Part {
-                job: id.clone(),
-                part,
-                started: IntSet::new(),
-                finished: IntSet::new(),
-                machines: IntSet::new(),
-            };
-            self.writer.resync.push_back((progress_key(id, part), entry));
-        }
-    }
-
     fn entry_written(&mut self, now: Secs, entry: Entry, version: u64) {
         match entry {
             Entry::Part { job, part, started, finished, machines } => {
@@ -481,7 +484,7 @@
                 }
             }
             Entry::Close { job, cancelled, tasks } => self.closed(now, &job, cancelled, tasks),
-            Entry::Types => {}
+            Entry::Garbage(..) | Entry::Types => {}
         }
     }
 
@@ -500,6 +503,9 @@
         let Some(job) = self.jobs.remove(id) else {
             return;
         };
+        for (part, version) in job.parts.iter().enumerate().filter(|(_, v)| **v != 0) {
+            self.writer.discard(progress_key(id, part as u32), *version);
+        }
         self.writer.closed.push_back((id.clone(), job.spec_version));
         if self.writer.closed.len() > FINALS_KEPT {
             self.writer.closed.pop_front();
@@ -550,6 +556,11 @@
                     self.entry_again(now, Entry::Close { job, cancelled, tasks });
                 }
             }
+            Entry::Garbage(key, _) => {
+                if version != 0 {
+                    self.writer.discard(key, version);
+                }
+            }
             Entry::Types => {}
         }
     }
@@ -570,6 +581,7 @@
                 }
                 self.writer.close(&job, now);
             }
+            Entry::Garbage(key, version) => self.writer.discard(key, version),
             Entry::Types => self.writer.types_key.clear(),
         }
     }
--- a/crates/core/tests/cluster.rs
+++ b/crates/core/tests/cluster.rs
@@ -12,6 +12,13 @@
     let kind = prop_oneof![
         (0usize..3, 1u32..60).prop_map(|(n, s)| Trouble::Crash(n, s)),
         (1u32..60).prop_map(Trouble::CrashAll),
+        // Back within a fraction of a second, also mid-election.
+        (0usize..3, 1u32..5).prop_map(|(n, s)| Trouble::Crash(n, s)),
+        (1u32..5).prop_map(Trouble::CrashAll),
+        (0usize..3, 1u32..200).prop_map(|(n, s)| Trouble::Isolated(n, s)),
+        (0usize..8, 1u32..400).prop_map(|(m, s)| Trouble::MachineDeaf(m, s)),
+        (0usize..8).prop_map(Trouble::MachineReborn),
+        (10u32..400).prop_map(Trouble::LateCopies),
         (1u32..150).prop_map(Trouble::StoreDown),
         (0usize..3, 1u32..200).prop_map(|(n, s)| Trouble::StoreRefuses(n, s)),
         (0usize..3, 1u32..200).prop_map(|(n, s)| Trouble::WorkersCut(n, s)),
@@ -24,7 +31,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 40,
+        cases: 96,
         rng_seed: RngSeed::Fixed(7),
         failure_persistence: None,
         max_shrink_iters: 60,
@@ -66,3 +73,20 @@
         assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// A worker whose lease ran out while it heard nothing begins a new session,
+/// known from an answer to a direct order only: the session's lease counts from
+/// then. It once counted from the last answer before, and tasks ran twice.
+#[test]
+fn a_new_session_has_its_lease_whole() {
+    let troubles = vec![
+        (117, Trouble::Crash(2, 13)),
+        (159, Trouble::CrashAll(23)),
+        (207, Trouble::Crash(0, 3)),
+        (358, Trouble::MachineDeaf(2, 57)),
+        (482, Trouble::MachineDies(1)),
+    ];
+    let mut world = World::new(5_579_486_582_532_133_835, troubles);
+    world.run(1_600);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -17,6 +17,8 @@
 const CANCEL_S: f64 = 20.0;
 const NODES: usize = 3;
 const LIMIT: f64 = 10.0;
+/// Longest that a job may go unanswered after all troubles, steps.
+const SILENCE: u32 = 300;
 
 /// Something that goes wrong; lengths in steps.
 #[derive(Clone, Debug)]
@@ -27,8 +29,35 @@
     StoreRefuses(usize, u32),
     WorkersCut(usize, u32),
     MachineCut(usize, u32),
+    /// Its reports arrive; answers and commands don't reach it.
+    MachineDeaf(usize, u32),
     MachineDies(usize),
+    /// Its worker is back at once, empty and counting from the beginning.
+    MachineReborn(usize),
     CloudDown(u32),
+    /// Neither store nor peers, but workers and users.
+    Isolated(usize, u32),
+    /// Copies of all reports come again, up to so much later.
+    LateCopies(u32),
+}
+
+impl Trouble {
+    /// How long it lasts.
+    fn steps(&self) -> u32 {
+        match self {
+            Self::Crash(_, s)
+            | Self::CrashAll(s)
+            | Self::StoreDown(s)
+            | Self::StoreRefuses(_, s)
+            | Self::WorkersCut(_, s)
+            | Self::MachineCut(_, s)
+            | Self::MachineDeaf(_, s)
+            | Self::CloudDown(s)
+            | Self::Isolated(_, s)
+            | Self::LateCopies(s) => *s,
+            Self::MachineDies(_) | Self::MachineReborn(_) => 0,
+        }
+    }
 }
 
 struct Host {
@@ -39,6 +68,7 @@
     watched: u64,
     refused_until: u32,
     cut_until: u32,
+    alone_until: u32,
 }
 
 #[derive(Clone)]
@@ -55,6 +85,7 @@
     up_at: f64,
     dead: bool,
     cut_until: u32,
+    deaf_until: u32,
     session: u64,
     seq: u64,
     token: u64,
@@ -125,6 +156,12 @@
     next_grant: u64,
     store_down_until: u32,
     cloud_down_until: u32,
+    /// Until when reports are copied, and how late the copies may come.
+    copies: (u32, u32),
+    /// When the last trouble ends.
+    calm_from: u32,
+    /// When each accepted job was last answered about.
+    heard_of: BTreeMap<JobId, u32>,
     machines: BTreeMap<MachineId, Worker>,
     released: BTreeSet<MachineId>,
     rents: HashMap<String, Vec<MachineId>>,
@@ -146,6 +183,7 @@
 impl World {
     pub fn new(seed: u64, mut troubles: Vec<(u32, Trouble)>) -> Self {
         troubles.sort_by_key(|t| t.0);
+        let calm_from = troubles.iter().map(|(at, t)| at + t.steps()).max().unwrap_or(0);
         let host = |i: usize| Host {
             node: None,
             born: 0.0,
@@ -154,6 +192,7 @@
             watched: 0,
             refused_until: 0,
             cut_until: 0,
+            alone_until: 0,
         };
         Self {
             rng: StdRng::seed_from_u64(seed),
@@ -167,6 +206,9 @@
             next_grant: 0,
             store_down_until: 0,
             cloud_down_until: 0,
+            copies: (0, 0),
+            calm_from,
+            heard_of: BTreeMap::new(),
             machines: BTreeMap::new(),
             released: BTreeSet::new(),
             rents: HashMap::new(),
@@ -229,6 +271,7 @@
             for i in 0..NODES {
                 self.turn(i);
             }
+            self.check_known();
         }
         if self.broken.is_empty() {
             for (id, spec) in &self.specs {
@@ -243,6 +286,16 @@
         }
     }
 
+    /// Once all troubles are over, no accepted job goes unanswered for long.
+    fn check_known(&mut self) {
+        for id in &self.accepted {
+            let last = self.heard_of.get(id).copied().unwrap_or(0).max(self.calm_from);
+            if self.step > last + SILENCE {
+                self.broken.push(format!("forgotten: {id} unanswered since step {last}"));
+            }
+        }
+    }
+
     fn trouble(&mut self) {
         while let Some((at, t)) = self.troubles.first().cloned() {
             if at > self.step {
@@ -262,6 +315,36 @@
                         w.cut_until = step + s;
                     }
                 }
+                Trouble::Isolated(n, s) => {
+                    self.hosts[n].refused_until = step + s;
+                    self.hosts[n].alone_until = step + s;
+                }
+                Trouble::LateCopies(s) => self.copies = (step + s, s),
+                Trouble::MachineDeaf(m, s) => {
+                    if let Some(w) = self.machines.values_mut().nth(m) {
+                        w.deaf_until = step + s;
+                    }
+                }
+                Trouble::MachineReborn(m) => {
+                    let now = self.now();
+                    // Not while cut off: an order held back for its former self
+                    // would match its session and token, and nothing in the
+                    // protocol could tell (see docs/questions.md).
+                    let up = |w: &Worker| {
+                        !w.dead && now >= w.up_at && step >= w.cut_until.max(w.deaf_until)
+                    };
+                    if let Some((id, w)) = self.machines.iter_mut().nth(m).filter(|(_, w)| up(w)) {
+                        // Connections to the one before died with it.
+                        self.late.retain(
+                            |(_, l)| !matches!(l, Late::Direct { machine, .. } if machine == id),
+                        );
+                        w.tasks.clear();
+                        (w.session, w.seq, w.token) = (1, 0, 0);
+                        w.leased_from = now;
+                        w.next_report = now;
+                        w.waiting = None;
+                    }
+                }
                 Trouble::MachineDies(m) => {
                     if let Some(w) = self.machines.values_mut().nth(m) {
                         w.dead = true;
@@ -470,10 +553,9 @@
                 Action::Direct { op, addr, token, session, commands } => {
                     let machine = MachineId::new(&addr);
                     let cut = self.step < self.hosts[n].cut_until
-                        || self
-                            .machines
-                            .get(&machine)
-                            .is_none_or(|w| w.dead || self.step < w.cut_until);
+                        || self.machines.get(&machine).is_none_or(|w| {
+                            w.dead || self.step < w.cut_until || self.step < w.deaf_until
+                        });
                     let lost = cut || self.rng.random_range(0..25) == 0;
                     if lost {
                         let event = Event::Direct(op, DirectResult::Unknown);
@@ -505,7 +587,11 @@
     }
 
     fn peers(&mut self, n: usize, news: impl Fn(usize) -> PeerNews) {
-        for o in (0..NODES).filter(|&o| o != n) {
+        let alone = |h: &Host| self.step < h.alone_until;
+        let cut = alone(&self.hosts[n]);
+        let reached: Vec<usize> =
+            (0..NODES).filter(|&o| o != n && !cut && !alone(&self.hosts[o])).collect();
+        for o in reached {
             if self.hosts[o].node.is_some() {
                 let boot = self.hosts[o].born;
                 self.after(1, Late::Event { node: o, boot, event: Event::Peer(news(o)) });
@@ -530,6 +616,7 @@
                 if what == 's' {
                     self.accepted.insert(id.clone());
                 }
+                self.heard_of.insert(id.clone(), self.step);
                 let final_before = known
                     .filter(|(s, at)| matches!(s, Stage::Done | Stage::Cancelled) && *at < asked);
                 if let Some((stage, _)) = final_before
@@ -606,8 +693,14 @@
                 Late::Event { node, boot, event } => self.event(node, boot, event),
                 Late::Direct { node, boot, op, machine, cmd, answer } => {
                     // A cut holds packets back: they come when it ends.
-                    let held = self.machines.get(&machine).map_or(0, |w| w.cut_until);
+                    let held =
+                        self.machines.get(&machine).map_or(0, |w| w.cut_until.max(w.deaf_until));
                     if held > self.step {
+                        if answer {
+                            // The link gives up waiting.
+                            let event = Event::Direct(op, DirectResult::Unknown);
+                            self.after(15, Late::Event { node, boot, event });
+                        }
                         self.late.push((
                             held,
                             Late::Direct { node, boot, op, machine, cmd, answer: false },
@@ -789,6 +882,7 @@
                             up_at: now + 3.0,
                             dead: false,
                             cut_until: 0,
+                            deaf_until: 0,
                             session: 1,
                             seq: 0,
                             token: 0,
@@ -874,6 +968,15 @@
                 if let Some(report) = self.report_of(&id) {
                     let late = Late::Report { node, report, sent: now };
                     // Held back by a cut, and delivered when it ends.
+                    if let Late::Report { node, report, sent } = &late
+                        && self.step < self.copies.0
+                    {
+                        // A copy of it comes later, to any controller.
+                        let (node, report, sent) =
+                            ((node + self.step as usize) % NODES, report.clone(), *sent);
+                        let delay = self.rng.random_range(1..self.copies.1.max(2));
+                        self.late.push((self.step + delay, Late::Report { node, report, sent }));
+                    }
                     if cut > self.step {
                         self.late.push((cut, late));
                     } else {
@@ -902,7 +1005,11 @@
     fn report_answered(&mut self, id: &MachineId, session: u64, sent: f64, answer: Answer) {
         let now = self.now();
         let Some(w) = self.machines.get_mut(id) else { return };
-        if w.dead || w.waiting != Some(sent) || w.session != session || self.step < w.cut_until {
+        if w.dead
+            || w.waiting != Some(sent)
+            || w.session != session
+            || self.step < w.cut_until.max(w.deaf_until)
+        {
             return;
         }
         w.waiting = None;
