--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -45,6 +45,8 @@
     pub stop: Option<f64>,
     /// When an answer to a report last carried its start.
     pub sent: Option<Secs>,
+    /// Found running by a new leader: when it began is not known.
+    pub adopted: bool,
 }
 
 impl Live {
@@ -292,7 +294,10 @@
                 self.finished.insert(n);
                 self.successes += 1;
                 self.failed_on.clear();
-                if let Some(from) = live.ran_from {
+                // The rest of a run that a takeover fell into says little of
+                // the whole: taken for whole ones, such rests once made jobs
+                // look a fifth of their size.
+                if let Some(from) = live.ran_from.filter(|_| !live.adopted) {
                     self.measure(now - from);
                 }
             }
@@ -397,6 +402,7 @@
             doubt: false,
             stop: None,
             sent: None,
+            adopted: false,
         };
         job.place(n, live, 1);
     }
@@ -447,6 +453,25 @@
         assert_eq!(j.queue, Some(0));
     }
 
+    /// The rest of a run that a new leader saw is not taken for the whole.
+    #[test]
+    fn a_takeover_does_not_shrink_a_job() {
+        let mut j = job(300);
+        for n in j.pilots.clone() {
+            place(&mut j, n, "m", 0.0);
+            if let Some(l) = j.live.get_mut(&n) {
+                l.adopted = true;
+            }
+            j.over(n, Outcome::Done, 1.0);
+        }
+        assert_eq!((j.mean_run(), j.queue), (None, None));
+        // Whole runs of other tasks size it then.
+        let n = j.next_task(1.0).expect("waits");
+        place(&mut j, n, "m", 1.0);
+        j.over(n, Outcome::Done, 41.0);
+        assert_eq!((j.mean_run(), j.queue), (Some(40.0), Some(2)));
+    }
+
     /// A job that fails everywhere must not fill the machines with its tries.
     #[test]
     fn a_mistaken_job_tries_one_task_at_a_time() {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -166,6 +166,12 @@
             Job::new(record.clone(), *version, now - age, &self.facts.tuning, &mut self.rng);
         job.cancelled = replica.cuts.contains(id);
         self.hire.saw_job(now, job.spec());
+        self.log.push(format!(
+            "event=known job={id} kind={:?} tasks={} age_s={age:.1} term={}",
+            job.spec().kind,
+            job.spec().tasks,
+            self.term.0
+        ));
         self.least_cpus = self.least_cpus.min(job.spec().cpus);
         if job.cancelled {
             self.writer.close(id, now);
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -496,6 +496,7 @@
             doubt: false,
             stop: None,
             sent: None,
+            adopted: false,
         };
         let new = !job.start_recorded(n, number);
         job.place(n, live, number);
@@ -572,6 +573,7 @@
                         Claim::Guarantee => {
                             s.team != spec.team
                                 && self.borrows(pass, s)
+                                && !l.adopted
                                 && l.ran_from.is_none_or(|f| pass.now - f < GUARANTEE_LOSS_S)
                         }
                     };
@@ -581,7 +583,8 @@
                         && !l.doubt
                         && (l.never_sent(pass.now)
                             || matches!(l.phase, Phase::Seen | Phase::Running));
-                    let lost = l.ran_from.map_or(0.0, |f| pass.now - f);
+                    let before = if l.adopted { j.likely_run() / 2.0 } else { 0.0 };
+                    let lost = l.ran_from.map_or(0.0, |f| pass.now - f + before);
                     stoppable.then(|| (lost, task.clone(), [s.cpus, s.gpus, s.memory_gb]))
                 })
                 .collect();
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -280,6 +280,7 @@
             doubt: false,
             stop: job.cancelled.then_some(0.0),
             sent: None,
+            adopted: true,
         };
         job.live.insert(n, live);
         if running {
@@ -296,7 +297,8 @@
             return;
         };
         let n = task.index;
-        let run = job.live.get(&n).and_then(|l| l.ran_from).map(|f| now - f);
+        let whole = job.live.get(&n).filter(|l| !l.adopted);
+        let run = whole.and_then(|l| l.ran_from).map(|f| now - f);
         let mean = job.mean_run();
         let samples = job.runs.0;
         let outcome = match why {
