Keep a task off machines that must list its ended attempt; log images placed

Change: preemption looks at listed attempts as placement does; a machine that is the only room for such a task gets no more work and is returned. The log tells image and expected fetch of a placement.

--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -91,7 +91,7 @@
                 self.facts.tuning.idle_s + fetches.min(IDLE_IMAGES_ORDINARY_S)
             };
             let unneeded = m.tasks.is_empty()
-                && m.exited.is_empty()
+                && m.exited.keys().all(|k| m.keep.contains(k))
                 && m.direct.is_none()
                 && !m.releasing
                 && m.confirmed
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -428,7 +428,7 @@
             return false;
         }
         let task = TaskId { job: id.clone(), index: n };
-        let mut own_fault = false;
+        let mut listed: Vec<MachineId> = Vec::new();
         let mut best: Option<(PlaceScore, &MachineId)> = None;
         for (mid, free) in &pass.rooms {
             if !fits(spec, free) {
@@ -438,7 +438,7 @@
                 continue;
             };
             if m.exited.keys().any(|(e, _)| *e == task) {
-                own_fault = true;
+                listed.push(mid.clone());
                 continue;
             }
             // First machines on which the job didn't fail, with the image (or
@@ -462,7 +462,11 @@
             }
         }
         let Some(machine) = best.map(|(_, mid)| mid.clone()) else {
-            pass.failed.extend(shape.filter(|_| !own_fault));
+            if listed.is_empty() {
+                pass.failed.extend(shape);
+            } else if images == Images::Any && pass.only.is_none() {
+                self.drain_kept(&task, &listed);
+            }
             return false;
         };
         let attempt = self.new_attempt();
@@ -470,6 +474,21 @@
         true
     }
 
+    /// Room is only where an attempt of the task must stay listed, lest a late
+    /// copy of its start runs it again. That lasts as long as the worker's
+    /// session, so such a machine gets no more work and is returned.
+    fn drain_kept(&mut self, task: &TaskId, listed: &[MachineId]) {
+        for id in listed {
+            if let Some(m) = self.machines.get_mut(id)
+                && m.keep.iter().any(|(t, _)| t == task)
+                && !m.cordoned
+            {
+                m.cordoned = true;
+                self.log.push(format!("event=cordon machine={id} kept={task}"));
+            }
+        }
+    }
+
     fn new_attempt(&mut self) -> Attempt {
         self.next_attempt += 1;
         Attempt::new(self.term, self.next_attempt)
@@ -510,6 +529,11 @@
         self.attach(id, n, machine);
         if let Some(m) = self.machines.get_mut(machine) {
             m.push = true;
+            let fetch = m.fetch_time(&spec.image, spec.image_gb, pass.now);
+            self.log.push(format!(
+                "event=place task={id}/{n} attempt={} machine={machine} image={} fetch_s={fetch:.1} term={}",
+                attempt.0, spec.image, self.term.0
+            ));
             m.expect_image(&spec.image, spec.image_gb, pass.now);
             self.writer.want_machine(machine, m, pass.now);
             let free = m.free();
@@ -519,10 +543,6 @@
                 pass.rooms.remove(machine);
             }
         }
-        self.log.push(format!(
-            "event=place task={id}/{n} attempt={} machine={machine} term={}",
-            attempt.0, self.term.0
-        ));
     }
 
     /// Makes room for a service by stopping tasks of lower rank, those that
@@ -553,7 +573,14 @@
         let mut best: Option<((u64, u64), MachineId, Vec<TaskId>)> = None;
         for (mid, m) in &self.machines {
             let others = m.tasks.len() > m.services as usize;
-            if !others || !m.usable(pass.now, self.facts.report_s) || !self.allowed(job, m) {
+            // While an earlier attempt of it is listed there, the worker
+            // refuses it. (Such a task once was sent there for ever.)
+            let listed = m.exited.keys().any(|(t, _)| t.job == *id && t.index == n);
+            if !others
+                || listed
+                || !m.usable(pass.now, self.facts.report_s)
+                || !self.allowed(job, m)
+            {
                 continue;
             }
             let fetch = m.fetch_time(&spec.image, spec.image_gb, pass.now);
--- a/crates/core/tests/cluster.rs
+++ b/crates/core/tests/cluster.rs
@@ -90,3 +90,17 @@
     world.run(1_600);
     assert_eq!(world.broken, Vec::<String>::new());
 }
+
+/// An ended attempt that must stay listed on a machine keeps its task off that
+/// machine, also where preemption finds room: it once was sent there for ever.
+#[test]
+fn a_listed_attempt_keeps_its_task_elsewhere() {
+    let troubles = vec![
+        (149, Trouble::CrashAll(4)),
+        (394, Trouble::CrashAll(2)),
+        (417, Trouble::MachineReborn(0)),
+    ];
+    let mut world = World::new(10_445_943_961_295_808_273, troubles);
+    world.run(1_600);
+    assert_eq!(world.broken, Vec::<String>::new());
+}
