Jobs whose time runs out move to the top queue; failed hails release taken spots

And after each of four changes of leader, jobs that had been on spot machines taken just before waited 11 s for proof. Change: a job with little slack is served from the top queue; a spot machine that two direct tries of a new leader can't reach, while most others answered, is returned at once, and its release is the proof.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -120,6 +120,11 @@
 pub const GONE_REPORTS: f64 = 2.5;
 /// Added to that, seconds.
 pub const GONE_MARGIN_S: f64 = 1.0;
+/// A spot machine that a new leader couldn't reach so often, while most others
+/// answered, is returned: it was mostly taken, and its jobs wait for proof.
+pub const HAILS: u32 = 2;
+/// Pause between two of these tries, seconds.
+pub const HAIL_AGAIN_S: f64 = 0.8;
 /// No machine is given up as silent so soon after a takeover, seconds: workers
 /// need a report's timeout and a try or two to find the new leader.
 pub const GONE_AFTER_S: f64 = 6.5;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -43,6 +43,8 @@
     /// It is to be sent an order though there is nothing to do, to learn
     /// whether it hears us and what it runs.
     pub hail: bool,
+    /// Orders in a row that found it unreachable, before its first word.
+    pub unreached: u32,
     /// All that it may run is known: it reported under this term.
     pub confirmed: bool,
     /// Its tasks outlived their lease, in this session.
@@ -110,6 +112,7 @@
             last_report: None,
             reached: None,
             hail: false,
+            unreached: 0,
             confirmed: false,
             lapsed: None,
             cordoned: false,
--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -38,8 +38,8 @@
             .machines
             .values()
             .filter(|m| m.heard.is_some_and(|h| now - h < self.facts.report_s * SILENT_REPORTS));
-        let heard_lately =
-            now - self.hire.office_at > GONE_AFTER_S && lately.count() * 2 > self.machines.len();
+        let most_heard = lately.count() * 2 > self.machines.len();
+        let heard_lately = now - self.hire.office_at > GONE_AFTER_S && most_heard;
         let office_at = self.hire.office_at;
         let mut holders: HashMap<(bool, String), u32> = HashMap::new();
         for m in self.machines.values().filter(|m| !m.releasing && m.lapsed.is_none()) {
@@ -62,7 +62,9 @@
             // An ordinary machine may be cut and its replicas serve on; but if
             // it was never heard in this term, its lease is mostly over by now.
             let given_up = m.info.spot || !m.confirmed;
-            if silent && heard_lately && given_up && m.lapsed.is_none() && !m.releasing {
+            let unreached = m.info.spot && !m.confirmed && m.unreached >= HAILS && most_heard;
+            let gone = unreached || silent && heard_lately && given_up;
+            if gone && m.lapsed.is_none() && !m.releasing {
                 self.log.push(format!("event=silent machine={id} spot={}", m.info.spot));
                 m.releasing = true;
                 self.hire.release.insert(id.clone());
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -369,6 +369,12 @@
             }
             DirectResult::NotSent | DirectResult::Unknown => {
                 m.direct_after = now + DIRECT_BACKOFF_S;
+                if !m.confirmed {
+                    m.unreached += 1;
+                    if m.unreached < HAILS {
+                        m.direct_after = now + HAIL_AGAIN_S;
+                    }
+                }
                 if m.session != sent.session {
                     return;
                 }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -274,6 +274,9 @@
             let order = self.press(job, now);
             let rank = 3 - job.spec().priority as u8;
             let serve = if job.queue.is_none() { Serve::Pilots } else { Serve::All };
+            // Sized by its work, a wide job waits behind all smaller ones; one
+            // whose time runs out moves up, or its deadline means nothing.
+            let q = if order == 0 { 0 } else { q };
             queues[q].push((rank * 3 + order, job.arrived, id.clone(), serve));
             if serve == Serve::Pilots {
                 unsized_jobs.push((rank, job.arrived, id.clone()));
