Rent with overdue tasks and the time to start in mind

Ruled out: boots, capacity (free all the while). In the world of the cluster test a link that loses its worker now says so.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -298,6 +298,11 @@
 /// than the usual spread, as estimates are off by half and machines get lost,
 /// and a late job costs users more than a machine for a minute.
 pub const RENT_SPREAD: f64 = 2.5;
+/// A task that runs longer than the mean is thought to take this share of it
+/// more.
+pub const OVERDUE_SHARE: f64 = 0.3;
+/// Weight of a new sample in the average time from placing to running.
+pub const LAG_WEIGHT: f64 = 0.02;
 /// Waves in which a job's waiting tasks may run if its deadline leaves time.
 pub const WAVES_MAX: f64 = 2.0;
 /// Run time assumed for a task nobody knows anything of, seconds.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -50,6 +50,9 @@
     /// task seen takes: whether a machine that comes free is worth a look.
     pub(crate) backlog: bool,
     pub(crate) least_cpus: f64,
+    /// Average time from placing an array's task to its running, fetch
+    /// included, seconds.
+    pub(crate) start_lag: Secs,
     next_sweep: Secs,
     pub(crate) writer: Writer,
     pub(crate) hire: Hire,
@@ -83,6 +86,7 @@
             next_number: 0,
             backlog: true,
             least_cpus: f64::INFINITY,
+            start_lag: 0.0,
             next_sweep: 0.0,
             recovering: true,
             place_due: true,
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -206,6 +206,7 @@
         rooms: &[Room],
         mut book: impl FnMut(&JobSpec) -> bool,
     ) -> Vec<(JobSpec, u32)> {
+        let lag = self.start_lag;
         let ms = |at: Secs| (at.max(now) * 1e3) as u64;
         // One entry a CPU: when it is free.
         let mut cpus: BinaryHeap<Reverse<u64>> = BinaryHeap::new();
@@ -217,7 +218,12 @@
             let run = job.likely_run();
             let width = job.spec().cpus.ceil().max(1.0) as u32;
             for live in job.live.values() {
-                let ends = live.ran_from.unwrap_or(live.since) + run;
+                let ends = match live.ran_from {
+                    // A task past the mean isn't about to end: half of all run
+                    // longer. Taken for room at once, they once hid a backlog.
+                    Some(from) => (from + run).max(now + run * OVERDUE_SHARE),
+                    None => live.since.max(now - lag) + lag + run,
+                };
                 cpus.extend((0..width).map(|_| Reverse(ms(ends))));
             }
             if job.waiting() > 0 && !job.mistaken() {
@@ -240,12 +246,12 @@
                 let whole = taken.len() == width as usize;
                 let start = taken.iter().max().map_or(f64::INFINITY, |at| *at as f64 / 1e3);
                 let start = if whole { start } else { f64::INFINITY };
-                if start + run * RENT_SPREAD > due && start > now + boot {
+                if start + lag + run * RENT_SPREAD > due && start > now + boot {
                     // A machine rented now would start it sooner.
                     count += 1;
                     cpus.extend(taken.into_iter().map(Reverse));
                 } else {
-                    cpus.extend((0..width).map(|_| Reverse(ms(start + run))));
+                    cpus.extend((0..width).map(|_| Reverse(ms(start + lag + run))));
                 }
             }
             late.push((spec.clone(), count));
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -217,6 +217,10 @@
                 TaskState::Running | TaskState::Waiting => {
                     if entry.state == TaskState::Running {
                         if live.ran_from.is_none() {
+                            if !live.adopted && job.record.spec.kind == Kind::Array {
+                                let lag = now - live.since - self.start_lag;
+                                self.start_lag += lag * LAG_WEIGHT;
+                            }
                             self.log.push(format!(
                                 "event=runs task={task} machine={id} after_s={:.1}",
                                 now - live.since
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -334,10 +334,17 @@
                         !w.dead && now >= w.up_at && step >= w.cut_until.max(w.deaf_until)
                     };
                     if let Some((id, w)) = self.machines.iter_mut().nth(m).filter(|(_, w)| up(w)) {
-                        // Connections to the one before died with it.
-                        self.late.retain(
-                            |(_, l)| !matches!(l, Late::Direct { machine, .. } if machine == id),
-                        );
+                        // Connections to the one before died with it, and who
+                        // sent over them learns no more than that.
+                        for (at, late) in &mut self.late {
+                            if let Late::Direct { node, boot, op, machine, .. } = late
+                                && machine == id
+                            {
+                                let event = Event::Direct(*op, DirectResult::Unknown);
+                                *late = Late::Event { node: *node, boot: *boot, event };
+                                *at = step + 15;
+                            }
+                        }
                         w.tasks.clear();
                         (w.session, w.seq, w.token) = (1, 0, 0);
                         w.leased_from = now;
