--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -22,6 +22,8 @@
     usage: BTreeMap<String, [f64; 2]>,
     /// What teams gave up in this pass. It still runs, so it stays in `usage`.
     given: BTreeMap<String, [f64; 2]>,
+    /// What services wait for beyond their teams' limits.
+    promised: BTreeMap<String, [f64; 2]>,
     /// Usable machines with room, and the one that the pass is about, if only one.
     rooms: BTreeMap<MachineId, [f64; 3]>,
     only: Option<MachineId>,
@@ -116,6 +118,7 @@
             now,
             usage: self.team_usage(),
             given: BTreeMap::new(),
+            promised: BTreeMap::new(),
             rooms,
             only: only.cloned(),
             failed: HashSet::new(),
@@ -146,12 +149,60 @@
                     || self.place_task(pass, &id, n, Images::Any)
                     || self.preempt_for(pass, &id, n, Images::Any, Claim::Rank);
                 if !placed {
+                    let left = self.jobs.get(&id).map_or(0, |j| j.waiting());
+                    self.make_quota(pass, &id, left);
                     break;
                 }
             }
         }
     }
 
+    /// A service that its own team's limit keeps out takes the place of that
+    /// team's arrays: they are stopped, and it starts once they are gone. (It
+    /// once waited for them for a minute.)
+    fn make_quota(&mut self, pass: &mut Pass, id: &JobId, tasks: u32) {
+        let Some(spec) = self.jobs.get(id).map(|j| j.spec().clone()) else { return };
+        if self.within_limit(pass, &spec) {
+            return;
+        }
+        let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else { return };
+        let limits = [team.cpus_max, team.gpus_max];
+        let used = pass.usage.get(&spec.team).copied().unwrap_or_default();
+        let promised = pass.promised.entry(spec.team.clone()).or_default();
+        let needs = [spec.cpus * f64::from(tasks), spec.gpus * f64::from(tasks)];
+        (0..2).for_each(|i| promised[i] += needs[i]);
+        if pass.only.is_some() {
+            return;
+        }
+        let mut over: [f64; 2] = std::array::from_fn(|i| {
+            if limits[i] > 0.0 { used[i] + promised[i] - limits[i] } else { 0.0 }
+        });
+        let mut victims: Vec<(f64, TaskId, [f64; 2])> = Vec::new();
+        for (job, j) in self.jobs.iter().filter(|(_, j)| j.spec().team == spec.team) {
+            let s = j.spec();
+            for (n, l) in &j.live {
+                if l.stop.is_some() {
+                    over[0] -= s.cpus;
+                    over[1] -= s.gpus;
+                } else if s.kind == Kind::Array && s.priority < spec.priority && stoppable(l, pass)
+                {
+                    let lost = l.ran_from.map_or(0.0, |f| pass.now - f);
+                    let task = TaskId { job: job.clone(), index: *n };
+                    victims.push((lost, task, [s.cpus, s.gpus]));
+                }
+            }
+        }
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, task, frees) in victims {
+            if over.iter().all(|o| *o <= 1e-9) {
+                break;
+            }
+            (0..2).for_each(|i| over[i] -= frees[i]);
+            self.log.push(format!("event=preempt task={task} for={id} why=limit"));
+            self.preempt(pass.now, &task);
+        }
+    }
+
     /// Jobs of a kind that have tasks waiting, by rank and arrival.
     fn waiting_by_rank(&self, kind: Kind) -> Vec<JobId> {
         let mut ids: Vec<_> = self
@@ -386,7 +437,14 @@
         let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else {
             return false;
         };
-        let used = pass.usage.get(&spec.team).copied().unwrap_or_default();
+        let mut used = pass.usage.get(&spec.team).copied().unwrap_or_default();
+        if spec.kind == Kind::Array
+            && let Some(promised) = pass.promised.get(&spec.team)
+        {
+            // What services wait for isn't taken again by the arrays stopped
+            // for them.
+            (0..2).for_each(|i| used[i] += promised[i]);
+        }
         let over = |have: f64, more: f64, limit: f64| limit > 0.0 && have + more > limit + 1e-9;
         !over(used[0], spec.cpus, team.cpus_max) && !over(used[1], spec.gpus, team.gpus_max)
     }
@@ -607,12 +665,7 @@
                                 && l.ran_from.is_none_or(|f| pass.now - f < GUARANTEE_LOSS_S)
                         }
                     };
-                    let stoppable = below
-                        && s.kind == Kind::Array
-                        && l.stop.is_none()
-                        && !l.doubt
-                        && (l.never_sent(pass.now)
-                            || matches!(l.phase, Phase::Seen | Phase::Running));
+                    let stoppable = below && s.kind == Kind::Array && stoppable(l, pass);
                     let before = if l.adopted { j.likely_run() / 2.0 } else { 0.0 };
                     let lost = l.ran_from.map_or(0.0, |f| pass.now - f + before);
                     stoppable.then(|| (lost, task.clone(), [s.cpus, s.gpus, s.memory_gb]))
@@ -678,6 +731,13 @@
     }
 }
 
+/// Whether an attempt can be stopped for another's sake and will surely be gone
+/// soon.
+fn stoppable(l: &Live, pass: &Pass) -> bool {
+    let known = l.never_sent(pass.now) || matches!(l.phase, Phase::Seen | Phase::Running);
+    l.stop.is_none() && !l.doubt && known
+}
+
 fn fits(spec: &JobSpec, free: &[f64; 3]) -> bool {
     spec.cpus <= free[0] + 1e-9 && spec.gpus <= free[1] + 1e-9 && spec.memory_gb <= free[2] + 1e-9
 }
--- a/crates/core/tests/cluster.rs
+++ b/crates/core/tests/cluster.rs
@@ -146,3 +146,20 @@
         assert!(begun.is_some_and(|at| *at < 120 + 700), "seed {seed}: {begun:?}");
     }
 }
+
+/// Arrays hold all that their team may use: a service of that team takes it from
+/// them, and doesn't wait until they end by themselves.
+#[test]
+fn a_service_takes_its_teams_quota_from_arrays() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, Vec::new());
+        world.pace = (4, 160);
+        world.run(500);
+        for n in (23..37).step_by(4) {
+            let id = JobId::new(&format!("req-{n:06}"));
+            let known = world.accepted_at.get(&id).copied().unwrap_or(u32::MAX);
+            let begun = world.begun.get(&id).copied();
+            assert!(begun.is_some_and(|b| b < known + 60), "seed {seed} {id} {known} {begun:?}");
+        }
+    }
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -195,6 +195,8 @@
     pub pace: (u32, u32),
     /// When a task of each job first started, steps.
     pub begun: BTreeMap<JobId, u32>,
+    /// When each job was first told accepted, steps.
+    pub accepted_at: BTreeMap<JobId, u32>,
     /// No services, and the job of this number is wide and hopeless.
     pub wide: Option<u32>,
 }
@@ -246,6 +248,7 @@
             cordons: 0,
             pace: (25, 500),
             begun: BTreeMap::new(),
+            accepted_at: BTreeMap::new(),
             wide: None,
         }
     }
@@ -664,6 +667,7 @@
             Answer::Job(_, status) => {
                 if what == 's' {
                     self.accepted.insert(id.clone());
+                    self.accepted_at.entry(id.clone()).or_insert(self.step);
                 }
                 self.heard_of.insert(id.clone(), self.step);
                 let final_before = known
