Keep machines that could take over replicas without a fetch

Change: idle ordinary machines that hold images of few replicas go first; a tenth of an image's replicas could start again at once on those that are kept. Ruled out: leases (12 s, needed as proof).

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -273,6 +273,10 @@
 pub const PLAN_MAX: usize = 24;
 /// And as a share of the tasks that find no room, if many do.
 pub const PLAN_SHARE: f64 = 0.125;
+/// Of the machines that could take a lost replica at once, as they hold its image
+/// and have or lend the room, so many are kept, as a share of the replicas of that
+/// image: machines die by the dozen, and a fetch keeps users waiting.
+pub const HOLDERS_SHARE: f64 = 0.1;
 /// Idle machines returned in one round, as a share of those that may go.
 pub const RETURN_SHARE: f64 = 0.15;
 /// Machines in one release (protocol page: 100).
--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -7,9 +7,24 @@
 use crate::jobs::{Outcome, Phase};
 use crate::leader::Leader;
 use marblebarrow_proto::ids::{MachineId, TaskId};
-use marblebarrow_proto::job::Kind;
+use marblebarrow_proto::job::{Kind, Priority};
 use std::collections::{BTreeMap, HashMap};
 
+/// Who could take over a lost replica of an image at once.
+#[derive(Debug, Default)]
+struct Spare {
+    replicas: u32,
+    cpus: f64,
+    holders: u32,
+}
+
+impl Spare {
+    /// Whether none of the holders may go.
+    fn short(&self) -> bool {
+        self.holders <= (f64::from(self.replicas) * HOLDERS_SHARE) as u32
+    }
+}
+
 impl Leader {
     /// Picks the machines to return.
     pub(crate) fn return_machines(&mut self, now: Secs) {
@@ -110,26 +125,51 @@
                 && now - m.idle_since > patience
                 && now - m.first_heard > LEAST_BILL_S / 2.0;
             if unneeded {
-                // The fewer images it holds, the less is lost with it.
-                idle.push((m.info.spot, m.images.len(), id.clone()));
+                idle.push(id.clone());
             }
         }
         if self.recovering || idle.is_empty() {
             return;
         }
-        // A few a round, dearest kind first, unless they are wanted warm.
+        let mut spare = self.spare_holders(now);
+        // Dearest kind first; the fewer replicas it could take over, and the
+        // fewer images it holds, the less is lost with it.
+        let mut idle: Vec<(bool, u32, usize, MachineId)> = idle
+            .into_iter()
+            .filter_map(|id| {
+                let m = self.machines.get(&id)?;
+                let wanted = m.images.iter().filter_map(|(i, _)| spare.get(i)).map(|s| s.replicas);
+                Some((m.info.spot, wanted.sum(), m.images.len(), id))
+            })
+            .collect();
+        // A few a round, unless they are wanted warm.
         idle.sort();
         let mut most = (idle.len() as f64 * RETURN_SHARE).ceil() as usize;
-        for (spot, _, id) in idle {
+        for (spot, _, _, id) in idle {
             if most == 0 {
                 break;
             }
+            let images: Vec<String> = self
+                .machines
+                .get(&id)
+                .map(|m| m.images.iter().map(|(i, _)| i.clone()).collect())
+                .unwrap_or_default();
+            if !spot && images.iter().any(|i| spare.get(i).is_some_and(|s| s.short())) {
+                continue;
+            }
             if !spot && !self.warm_without(now, &id) {
                 // Those after it are alike: all are tried in rounds to come.
                 most -= 1;
                 continue;
             }
             most -= 1;
+            if !spot {
+                for image in &images {
+                    if let Some(s) = spare.get_mut(image) {
+                        s.holders = s.holders.saturating_sub(1);
+                    }
+                }
+            }
             if let Some(m) = self.machines.get_mut(&id) {
                 m.cordoned = true;
                 m.releasing = true;
@@ -138,6 +178,44 @@
         }
     }
 
+    /// For each image of running replicas: how many of these there are, and on
+    /// how many ordinary machines one more could start without a fetch.
+    fn spare_holders(&self, now: Secs) -> HashMap<String, Spare> {
+        let mut spare: HashMap<String, Spare> = HashMap::new();
+        for job in self.jobs.values().filter(|j| j.spec().kind == Kind::Service) {
+            let s = job.spec();
+            let entry = spare.entry(s.image.clone()).or_default();
+            entry.replicas += job.live.len() as u32;
+            entry.cpus = entry.cpus.max(s.cpus);
+        }
+        for m in self.machines.values() {
+            if m.info.spot || !m.usable(now, self.facts.report_s) {
+                continue;
+            }
+            let room = self.with_lent(m)[0] + 1e-9;
+            for (image, _) in &m.images {
+                if let Some(s) = spare.get_mut(image).filter(|s| s.cpus <= room) {
+                    s.holders += 1;
+                }
+            }
+        }
+        spare
+    }
+
+    /// What is free, and what arrays of a lower rank would give up.
+    fn with_lent(&self, m: &Machine) -> [f64; 3] {
+        let mut free = m.free();
+        for task in m.tasks.difference(&m.freed) {
+            let Some(s) = self.jobs.get(&task.job).map(|j| j.spec()) else { continue };
+            if s.kind == Kind::Array && s.priority < Priority::Production {
+                free[0] += s.cpus;
+                free[1] += s.gpus;
+                free[2] += s.memory_gb;
+            }
+        }
+        free
+    }
+
     /// Moves the replicas of a machine that is used little onto others that stay
     /// anyway and hold their images, so that it can be returned.
     pub(crate) fn gather(&mut self, now: Secs) {
