--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -1,6 +1,6 @@
 //! The leader's state and what moves it. Its parts: `recover` (taking over),
-//! `reports` (workers), `place` (who runs where), `writer` (records), `hire`
-//! (machines).
+//! `reports` and `orders` (workers), `place`, `gangs` and `preempt` (who runs
+//! where), `writer` (records), `hire`, `rent` and `give_back` (machines).
 
 use crate::consts::*;
 use crate::event::{Answer, CloudResult, DirectResult, OpId, Out, ReplyTo, Secs, StoreResult};
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -17,18 +17,18 @@
 use std::collections::{BTreeMap, HashSet};
 
 /// What a pass knows beyond the leader's state.
-struct Pass {
-    now: Secs,
-    usage: BTreeMap<String, [f64; 2]>,
+pub(crate) struct Pass {
+    pub(crate) now: Secs,
+    pub(crate) usage: BTreeMap<String, [f64; 2]>,
     /// What teams gave up in this pass. It still runs, so it stays in `usage`.
-    given: BTreeMap<String, [f64; 2]>,
+    pub(crate) given: BTreeMap<String, [f64; 2]>,
     /// What services wait for beyond their teams' limits.
-    promised: BTreeMap<String, [f64; 2]>,
+    pub(crate) promised: BTreeMap<String, [f64; 2]>,
     /// Usable machines with room, and the one that the pass is about, if only one.
-    rooms: BTreeMap<MachineId, [f64; 3]>,
-    only: Option<MachineId>,
+    pub(crate) rooms: BTreeMap<MachineId, [f64; 3]>,
+    pub(crate) only: Option<MachineId>,
     /// What found no place in this pass: others alike needn't look.
-    failed: HashSet<Shape>,
+    pub(crate) failed: HashSet<Shape>,
 }
 
 /// Failed here before, how scarce the room is, the fetch, what stays free: the
@@ -37,7 +37,7 @@
 
 /// What a task asks of a machine, as far as finding any goes.
 #[derive(Clone, PartialEq, Eq, Hash)]
-struct Shape {
+pub(crate) struct Shape {
     amounts: [u64; 3],
     spot: bool,
     zone: Option<String>,
@@ -48,7 +48,7 @@
 
 impl Shape {
     // Tasks whose job's other tasks matter are looked at each by itself.
-    fn of(spec: &JobSpec, images: Images, claim: Option<Claim>) -> Option<Self> {
+    pub(crate) fn of(spec: &JobSpec, images: Images, claim: Option<Claim>) -> Option<Self> {
         (!spec.one_zone && !spec.spread).then(|| Self {
             amounts: [spec.cpus.to_bits(), spec.gpus.to_bits(), spec.memory_gb.to_bits()],
             spot: spec.spot,
@@ -62,7 +62,7 @@
 
 /// On what ground a task may take another's room.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
-enum Claim {
+pub(crate) enum Claim {
     /// It is of a higher rank.
     Rank,
     /// It is within its team's guarantee, and the other's team is beyond its own.
@@ -71,7 +71,7 @@
 
 /// Which machines a task may take, as far as its image goes.
 #[derive(Clone, Copy, PartialEq)]
-enum Images {
+pub(crate) enum Images {
     /// Those that hold it.
     Held,
     /// All.
@@ -157,54 +157,8 @@
         }
     }
 
-    /// A service that its own team's limit keeps out takes the place of that
-    /// team's arrays: they are stopped, and it starts once they are gone. (It
-    /// once waited for them for a minute.)
-    fn make_quota(&mut self, pass: &mut Pass, id: &JobId, tasks: u32) {
-        let Some(spec) = self.jobs.get(id).map(|j| j.spec().clone()) else { return };
-        if self.within_limit(pass, &spec) {
-            return;
-        }
-        let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else { return };
-        let limits = [team.cpus_max, team.gpus_max];
-        let used = pass.usage.get(&spec.team).copied().unwrap_or_default();
-        let promised = pass.promised.entry(spec.team.clone()).or_default();
-        let needs = [spec.cpus * f64::from(tasks), spec.gpus * f64::from(tasks)];
-        (0..2).for_each(|i| promised[i] += needs[i]);
-        if pass.only.is_some() {
-            return;
-        }
-        let mut over: [f64; 2] = std::array::from_fn(|i| {
-            if limits[i] > 0.0 { used[i] + promised[i] - limits[i] } else { 0.0 }
-        });
-        let mut victims: Vec<(f64, TaskId, [f64; 2])> = Vec::new();
-        for (job, j) in self.jobs.iter().filter(|(_, j)| j.spec().team == spec.team) {
-            let s = j.spec();
-            for (n, l) in &j.live {
-                if l.stop.is_some() {
-                    over[0] -= s.cpus;
-                    over[1] -= s.gpus;
-                } else if s.kind == Kind::Array && s.priority < spec.priority && stoppable(l, pass)
-                {
-                    let lost = l.ran_from.map_or(0.0, |f| pass.now - f);
-                    let task = TaskId { job: job.clone(), index: *n };
-                    victims.push((lost, task, [s.cpus, s.gpus]));
-                }
-            }
-        }
-        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, task, frees) in victims {
-            if over.iter().all(|o| *o <= 1e-9) {
-                break;
-            }
-            (0..2).for_each(|i| over[i] -= frees[i]);
-            self.log.push(format!("event=preempt task={task} for={id} why=limit"));
-            self.preempt(pass.now, &task);
-        }
-    }
-
     /// Jobs of a kind that have tasks waiting, by rank and arrival.
-    fn waiting_by_rank(&self, kind: Kind) -> Vec<JobId> {
+    pub(crate) fn waiting_by_rank(&self, kind: Kind) -> Vec<JobId> {
         let mut ids: Vec<_> = self
             .jobs
             .iter()
@@ -215,75 +169,6 @@
         ids.into_iter().map(|(_, _, id)| id).collect()
     }
 
-    /// A gang starts when all its tasks fit at once; until then the others of
-    /// its queue are served.
-    fn place_gangs(&mut self, pass: &mut Pass) {
-        for id in self.waiting_by_rank(Kind::Gang) {
-            let Some(job) = self.jobs.get(&id) else {
-                continue;
-            };
-            let members = job.gang_members(pass.now);
-            if members.is_empty() {
-                continue;
-            }
-            // The members of a gang find each other by their common attempt.
-            let places = self.gang_places(pass, job, &members);
-            let attempt = self.new_attempt();
-            for (n, machine) in places {
-                self.put(pass, &id, n, &machine, attempt);
-            }
-        }
-    }
-
-    /// Machines for all members, or none.
-    fn gang_places(&self, pass: &Pass, job: &Job, members: &[u32]) -> Vec<(u32, MachineId)> {
-        let spec = job.spec();
-        let n = members.len() as f64;
-        let whole = JobSpec { cpus: spec.cpus * n, gpus: spec.gpus * n, ..spec.clone() };
-        if members.is_empty() || !self.within_limit(pass, &whole) {
-            return Vec::new();
-        }
-        let mut zones: Vec<Option<&str>> = vec![None];
-        if spec.one_zone {
-            zones = self.machines.values().map(|m| Some(m.info.zone.as_str())).collect();
-            zones.sort_unstable();
-            zones.dedup();
-        }
-        for zone in zones {
-            let mut rooms: Vec<(&MachineId, &str, [f64; 3], bool)> = self
-                .machines
-                .iter()
-                .filter(|(_, m)| {
-                    m.usable(pass.now, self.facts.report_s)
-                        && zone.is_none_or(|z| z == m.info.zone)
-                        && self.allowed(job, m)
-                        && !m.exited.keys().any(|(t, _)| t.job == spec.id)
-                })
-                .map(|(id, m)| (id, m.info.zone.as_str(), m.free(), m.has_image(&spec.image)))
-                .collect();
-            // Machines with the image first, then the fullest.
-            rooms.sort_by(|a, b| b.3.cmp(&a.3).then(a.2[0].total_cmp(&b.2[0])));
-            let mut in_zone: BTreeMap<&str, u32> = BTreeMap::new();
-            let mut places = Vec::new();
-            for &member in members {
-                let most = if spec.spread { spec.tasks.div_ceil(2) } else { u32::MAX };
-                let room = rooms.iter_mut().find(|(_, z, free, _)| {
-                    fits(spec, free) && in_zone.get(z).copied().unwrap_or(0) < most
-                });
-                let Some((id, z, free, _)) = room else { break };
-                free[0] -= spec.cpus;
-                free[1] -= spec.gpus;
-                free[2] -= spec.memory_gb;
-                *in_zone.entry(z).or_default() += 1;
-                places.push((member, (*id).clone()));
-            }
-            if places.len() == members.len() {
-                return places;
-            }
-        }
-        Vec::new()
-    }
-
     /// One task of each job that waited too long for its first.
     fn place_overdue(&mut self, pass: &mut Pass) {
         let mut ids: Vec<(Secs, JobId)> = self
@@ -422,18 +307,7 @@
         used[0] + spec.cpus <= team.cpus + 1e-9 && used[1] + spec.gpus <= team.gpus + 1e-9
     }
 
-    /// Whether a team would keep its guarantee without one task of that kind.
-    fn borrows(&self, pass: &Pass, spec: &JobSpec) -> bool {
-        let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else {
-            return false;
-        };
-        let used = pass.usage.get(&spec.team).copied().unwrap_or_default();
-        let given = pass.given.get(&spec.team).copied().unwrap_or_default();
-        let keeps = |i: usize, need: f64, own: f64| used[i] - given[i] - need >= own - 1e-9;
-        keeps(0, spec.cpus, team.cpus) && keeps(1, spec.gpus, team.gpus)
-    }
-
-    fn within_limit(&self, pass: &Pass, spec: &JobSpec) -> bool {
+    pub(crate) fn within_limit(&self, pass: &Pass, spec: &JobSpec) -> bool {
         let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else {
             return false;
         };
@@ -451,7 +325,7 @@
 
     /// Whether a task of the job may start on a machine as far as type, zone
     /// and kind go, given the job's other tasks.
-    fn allowed(&self, job: &Job, m: &Machine) -> bool {
+    pub(crate) fn allowed(&self, job: &Job, m: &Machine) -> bool {
         let spec = job.spec();
         let info = &m.info;
         if info.spot && !spec.spot
@@ -550,12 +424,19 @@
         }
     }
 
-    fn new_attempt(&mut self) -> Attempt {
+    pub(crate) fn new_attempt(&mut self) -> Attempt {
         self.next_attempt += 1;
         Attempt::new(self.term, self.next_attempt)
     }
 
-    fn put(&mut self, pass: &mut Pass, id: &JobId, n: u32, machine: &MachineId, attempt: Attempt) {
+    pub(crate) fn put(
+        &mut self,
+        pass: &mut Pass,
+        id: &JobId,
+        n: u32,
+        machine: &MachineId,
+        attempt: Attempt,
+    ) {
         let Some(m) = self.machines.get_mut(machine) else {
             return;
         };
@@ -605,139 +486,8 @@
             }
         }
     }
-
-    /// Makes room for a service by stopping tasks of lower rank, those that
-    /// lose least first.
-    fn preempt_for(
-        &mut self,
-        pass: &mut Pass,
-        id: &JobId,
-        n: u32,
-        images: Images,
-        claim: Claim,
-    ) -> bool {
-        // A machine that came free has room; nobody need be stopped for it.
-        if pass.only.is_some() {
-            return false;
-        }
-        let Some(job) = self.jobs.get(id) else {
-            return false;
-        };
-        let spec = job.spec().clone();
-        if !self.within_limit(pass, &spec) {
-            return false;
-        }
-        let shape = Shape::of(&spec, images, Some(claim));
-        if shape.as_ref().is_some_and(|s| pass.failed.contains(s)) {
-            return false;
-        }
-        let mut best: Option<((u64, u64), MachineId, Vec<TaskId>)> = None;
-        for (mid, m) in &self.machines {
-            let others = m.tasks.len() > m.services as usize;
-            // While an earlier attempt of it is listed there, the worker
-            // refuses it. (Such a task once was sent there for ever.)
-            let listed = m.exited.keys().any(|(t, _)| t.job == *id && t.index == n);
-            if !others
-                || listed
-                || !m.usable(pass.now, self.facts.report_s)
-                || !self.allowed(job, m)
-            {
-                continue;
-            }
-            let fetch = m.fetch_time(&spec.image, spec.image_gb, pass.now);
-            if fetch > 0.0 && images == Images::Held {
-                continue;
-            }
-            let mut free = m.free();
-            let mut victims: Vec<(f64, TaskId, [f64; 3])> = m
-                .tasks
-                .iter()
-                .filter_map(|task| {
-                    let j = self.jobs.get(&task.job)?;
-                    let l = j.live.get(&task.index)?;
-                    let s = j.spec();
-                    let below = match claim {
-                        Claim::Rank => s.priority < spec.priority,
-                        Claim::Guarantee => {
-                            s.team != spec.team
-                                && self.borrows(pass, s)
-                                && !l.adopted
-                                && l.ran_from.is_none_or(|f| pass.now - f < GUARANTEE_LOSS_S)
-                        }
-                    };
-                    let stoppable = below && s.kind == Kind::Array && stoppable(l, pass);
-                    let before = if l.adopted { j.likely_run() / 2.0 } else { 0.0 };
-                    let lost = l.ran_from.map_or(0.0, |f| pass.now - f + before);
-                    stoppable.then(|| (lost, task.clone(), [s.cpus, s.gpus, s.memory_gb]))
-                })
-                .collect();
-            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let mut chosen = Vec::new();
-            let mut lost = 0.0;
-            for (l, task, frees) in victims {
-                if fits(&spec, &free) {
-                    break;
-                }
-                (0..3).for_each(|i| free[i] += frees[i]);
-                lost += l * frees[0];
-                chosen.push(task);
-            }
-            if !fits(&spec, &free) {
-                continue;
-            }
-            let score = ((fetch * 10.0) as u64, (lost * 10.0) as u64);
-            if best.as_ref().is_none_or(|(s, ..)| score < *s) {
-                best = Some((score, mid.clone(), chosen));
-            }
-        }
-        let Some((_, machine, victims)) = best else {
-            pass.failed.extend(shape);
-            return false;
-        };
-        pass.failed.clear();
-        for task in victims {
-            self.log.push(format!("event=preempt task={task} for={id} machine={machine}"));
-            self.preempt(pass.now, &task);
-            if let Some(s) = self.jobs.get(&task.job).map(|j| j.record.spec.clone()) {
-                let given = pass.given.entry(s.team).or_default();
-                given[0] += s.cpus;
-                given[1] += s.gpus;
-            }
-        }
-        let attempt = self.new_attempt();
-        self.put(pass, id, n, &machine, attempt);
-        true
-    }
-
-    fn preempt(&mut self, now: Secs, task: &TaskId) {
-        let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
-        let Some(live) = live else { return };
-        if live.never_sent(now) {
-            return self.over(&task.job, task.index, crate::jobs::Outcome::Lost, now);
-        }
-        live.stop = Some(0.0);
-        // Tasks that are told to stop at once free their room before the
-        // command behind the stop is executed, so the room counts as free.
-        let machine = live.machine.clone();
-        let Some(spec) = self.jobs.get(&task.job).map(|j| j.record.spec.clone()) else {
-            return;
-        };
-        if let Some(m) = self.machines.get_mut(&machine) {
-            m.used[0] -= spec.cpus;
-            m.used[1] -= spec.gpus;
-            m.used[2] -= spec.memory_gb;
-            m.freed.insert(task.clone());
-        }
-    }
-}
-
-/// Whether an attempt can be stopped for another's sake and will surely be gone
-/// soon.
-fn stoppable(l: &Live, pass: &Pass) -> bool {
-    let known = l.never_sent(pass.now) || matches!(l.phase, Phase::Seen | Phase::Running);
-    l.stop.is_none() && !l.doubt && known
 }
 
-fn fits(spec: &JobSpec, free: &[f64; 3]) -> bool {
+pub(crate) fn fits(spec: &JobSpec, free: &[f64; 3]) -> bool {
     spec.cpus <= free[0] + 1e-9 && spec.gpus <= free[1] + 1e-9 && spec.memory_gb <= free[2] + 1e-9
 }
--- /dev/null
+++ b/crates/core/src/preempt.rs
@@ -0,0 +1,200 @@
+//! Stopping tasks for others' sake: for a higher rank, a team's guarantee, or a
+//! service that its own team's arrays keep out.
+
+use crate::consts::GUARANTEE_LOSS_S;
+use crate::event::Secs;
+use crate::jobs::{Live, Outcome, Phase};
+use crate::leader::Leader;
+use crate::place::{Claim, Images, Pass, Shape, fits};
+use marblebarrow_proto::ids::{JobId, MachineId, TaskId};
+use marblebarrow_proto::job::{JobSpec, Kind};
+
+impl Leader {
+    /// A service that its own team's limit keeps out takes the place of that
+    /// team's arrays: they are stopped, and it starts once they are gone. (It
+    /// once waited for them for a minute.)
+    pub(crate) fn make_quota(&mut self, pass: &mut Pass, id: &JobId, tasks: u32) {
+        let Some(spec) = self.jobs.get(id).map(|j| j.spec().clone()) else { return };
+        if self.within_limit(pass, &spec) {
+            return;
+        }
+        let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else { return };
+        let limits = [team.cpus_max, team.gpus_max];
+        let used = pass.usage.get(&spec.team).copied().unwrap_or_default();
+        let promised = pass.promised.entry(spec.team.clone()).or_default();
+        let needs = [spec.cpus * f64::from(tasks), spec.gpus * f64::from(tasks)];
+        (0..2).for_each(|i| promised[i] += needs[i]);
+        if pass.only.is_some() {
+            return;
+        }
+        let mut over: [f64; 2] = std::array::from_fn(|i| {
+            if limits[i] > 0.0 { used[i] + promised[i] - limits[i] } else { 0.0 }
+        });
+        let mut victims: Vec<(f64, TaskId, [f64; 2])> = Vec::new();
+        for (job, j) in self.jobs.iter().filter(|(_, j)| j.spec().team == spec.team) {
+            let s = j.spec();
+            for (n, l) in &j.live {
+                if l.stop.is_some() {
+                    over[0] -= s.cpus;
+                    over[1] -= s.gpus;
+                } else if s.kind == Kind::Array && s.priority < spec.priority && stoppable(l, pass)
+                {
+                    let lost = l.ran_from.map_or(0.0, |f| pass.now - f);
+                    let task = TaskId { job: job.clone(), index: *n };
+                    victims.push((lost, task, [s.cpus, s.gpus]));
+                }
+            }
+        }
+        victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, task, frees) in victims {
+            if over.iter().all(|o| *o <= 1e-9) {
+                break;
+            }
+            (0..2).for_each(|i| over[i] -= frees[i]);
+            self.log.push(format!("event=preempt task={task} for={id} why=limit"));
+            self.preempt(pass.now, &task);
+        }
+    }
+
+    /// Whether a team would keep its guarantee without one task of that kind.
+    fn borrows(&self, pass: &Pass, spec: &JobSpec) -> bool {
+        let Some(team) = self.facts.teams.iter().find(|t| t.name == spec.team) else {
+            return false;
+        };
+        let used = pass.usage.get(&spec.team).copied().unwrap_or_default();
+        let given = pass.given.get(&spec.team).copied().unwrap_or_default();
+        let keeps = |i: usize, need: f64, own: f64| used[i] - given[i] - need >= own - 1e-9;
+        keeps(0, spec.cpus, team.cpus) && keeps(1, spec.gpus, team.gpus)
+    }
+
+    /// Makes room for a service by stopping tasks of lower rank, those that
+    /// lose least first.
+    pub(crate) fn preempt_for(
+        &mut self,
+        pass: &mut Pass,
+        id: &JobId,
+        n: u32,
+        images: Images,
+        claim: Claim,
+    ) -> bool {
+        // A machine that came free has room; nobody need be stopped for it.
+        if pass.only.is_some() {
+            return false;
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return false;
+        };
+        let spec = job.spec().clone();
+        if !self.within_limit(pass, &spec) {
+            return false;
+        }
+        let shape = Shape::of(&spec, images, Some(claim));
+        if shape.as_ref().is_some_and(|s| pass.failed.contains(s)) {
+            return false;
+        }
+        let mut best: Option<((u64, u64), MachineId, Vec<TaskId>)> = None;
+        for (mid, m) in &self.machines {
+            let others = m.tasks.len() > m.services as usize;
+            // While an earlier attempt of it is listed there, the worker
+            // refuses it. (Such a task once was sent there for ever.)
+            let listed = m.exited.keys().any(|(t, _)| t.job == *id && t.index == n);
+            if !others
+                || listed
+                || !m.usable(pass.now, self.facts.report_s)
+                || !self.allowed(job, m)
+            {
+                continue;
+            }
+            let fetch = m.fetch_time(&spec.image, spec.image_gb, pass.now);
+            if fetch > 0.0 && images == Images::Held {
+                continue;
+            }
+            let mut free = m.free();
+            let mut victims: Vec<(f64, TaskId, [f64; 3])> = m
+                .tasks
+                .iter()
+                .filter_map(|task| {
+                    let j = self.jobs.get(&task.job)?;
+                    let l = j.live.get(&task.index)?;
+                    let s = j.spec();
+                    let below = match claim {
+                        Claim::Rank => s.priority < spec.priority,
+                        Claim::Guarantee => {
+                            s.team != spec.team
+                                && self.borrows(pass, s)
+                                && !l.adopted
+                                && l.ran_from.is_none_or(|f| pass.now - f < GUARANTEE_LOSS_S)
+                        }
+                    };
+                    let stoppable = below && s.kind == Kind::Array && stoppable(l, pass);
+                    let before = if l.adopted { j.likely_run() / 2.0 } else { 0.0 };
+                    let lost = l.ran_from.map_or(0.0, |f| pass.now - f + before);
+                    stoppable.then(|| (lost, task.clone(), [s.cpus, s.gpus, s.memory_gb]))
+                })
+                .collect();
+            victims.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut chosen = Vec::new();
+            let mut lost = 0.0;
+            for (l, task, frees) in victims {
+                if fits(&spec, &free) {
+                    break;
+                }
+                (0..3).for_each(|i| free[i] += frees[i]);
+                lost += l * frees[0];
+                chosen.push(task);
+            }
+            if !fits(&spec, &free) {
+                continue;
+            }
+            let score = ((fetch * 10.0) as u64, (lost * 10.0) as u64);
+            if best.as_ref().is_none_or(|(s, ..)| score < *s) {
+                best = Some((score, mid.clone(), chosen));
+            }
+        }
+        let Some((_, machine, victims)) = best else {
+            pass.failed.extend(shape);
+            return false;
+        };
+        pass.failed.clear();
+        for task in victims {
+            self.log.push(format!("event=preempt task={task} for={id} machine={machine}"));
+            self.preempt(pass.now, &task);
+            if let Some(s) = self.jobs.get(&task.job).map(|j| j.record.spec.clone()) {
+                let given = pass.given.entry(s.team).or_default();
+                given[0] += s.cpus;
+                given[1] += s.gpus;
+            }
+        }
+        let attempt = self.new_attempt();
+        self.put(pass, id, n, &machine, attempt);
+        true
+    }
+
+    fn preempt(&mut self, now: Secs, task: &TaskId) {
+        let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
+        let Some(live) = live else { return };
+        if live.never_sent(now) {
+            return self.over(&task.job, task.index, Outcome::Lost, now);
+        }
+        live.stop = Some(0.0);
+        // Tasks that are told to stop at once free their room before the
+        // command behind the stop is executed, so the room counts as free.
+        let machine = live.machine.clone();
+        let Some(spec) = self.jobs.get(&task.job).map(|j| j.record.spec.clone()) else {
+            return;
+        };
+        if let Some(m) = self.machines.get_mut(&machine) {
+            m.used[0] -= spec.cpus;
+            m.used[1] -= spec.gpus;
+            m.used[2] -= spec.memory_gb;
+            m.freed.insert(task.clone());
+        }
+    }
+}
+
+/// Whether an attempt can be stopped for another's sake and will surely be gone
+/// soon.
+fn stoppable(l: &Live, pass: &Pass) -> bool {
+    let known = l.never_sent(pass.now) || matches!(l.phase, Phase::Seen | Phase::Running);
+    l.stop.is_none() && !l.doubt && known
+}
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -1,14 +1,14 @@
 //! Workers: what their reports prove, and which commands they get.
 
 use crate::consts::*;
-use crate::event::{Action, Answer, Out, Secs};
+use crate::event::{Answer, Secs};
 use crate::fleet::Machine;
 use crate::jobs::{Live, Outcome, Phase};
-use crate::leader::{DirectSent, Leader};
+use crate::leader::Leader;
 use marblebarrow_proto::ids::{JobId, MachineId, TaskId};
 use marblebarrow_proto::job::Kind;
 use marblebarrow_proto::records::MachineRecord;
-use marblebarrow_proto::wire::{Command, Report, ReportAnswer, ReportTask, TaskState, Why};
+use marblebarrow_proto::wire::{Report, ReportAnswer, ReportTask, TaskState, Why};
 use std::collections::BTreeSet;
 
 impl Leader {
@@ -428,149 +428,4 @@
             m.hail = true;
         }
     }
-
-    /// The commands a machine should get now: stops, clears, then starts.
-    pub(crate) fn compose(&mut self, id: &MachineId) -> (Vec<Command>, Vec<TaskId>) {
-        let mut commands = Vec::new();
-        let mut starts = Vec::new();
-        let Some(m) = self.machines.get_mut(id) else {
-            return (commands, starts);
-        };
-        m.push = false;
-        let stop = |task: &TaskId, attempt, grace_s| Command::Stop {
-            task: task.to_string(),
-            attempt,
-            grace_s,
-        };
-        for (task, attempt) in &m.strangers {
-            commands.push(stop(task, *attempt, 0.0));
-        }
-        for task in &m.tasks {
-            if let Some(live) = self.jobs.get(&task.job).and_then(|j| j.live.get(&task.index))
-                && let Some(grace_s) = live.stop
-            {
-                commands.push(stop(task, live.attempt, grace_s));
-            }
-        }
-        for (key, why) in &m.exited {
-            let (task, attempt) = key;
-            let safe = match self.jobs.get(&task.job) {
-                None => true,
-                Some(j) => *why != Why::Done || j.stored_finished.contains(task.index),
-            };
-            if safe && !m.keep.contains(key) {
-                commands.push(Command::Forget { task: task.to_string(), attempt: *attempt });
-            }
-        }
-        let startable = m.recorded && m.lapsed.is_none() && !m.releasing && m.reached.is_some();
-        let number = m.info.number;
-        for task in m.tasks.iter().filter(|_| startable) {
-            if commands.len() >= COMMANDS_MAX {
-                m.push = true;
-                break;
-            }
-            let Some(job) = self.jobs.get_mut(&task.job) else {
-                continue;
-            };
-            if job.cancelled || !job.start_recorded(task.index, number) {
-                continue;
-            }
-            let Some(live) = job.live.get_mut(&task.index) else {
-                continue;
-            };
-            if live.stop.is_none() && matches!(live.phase, Phase::Placed | Phase::Ready) {
-                live.phase = Phase::Sent;
-                commands.push(Command::Start { task: task.to_string(), attempt: live.attempt });
-                starts.push(task.clone());
-            }
-        }
-        (commands, starts)
-    }
-
-    /// Sends directly what shouldn't wait for the next report.
-    pub(crate) fn push_direct(&mut self, now: Secs, out: &mut Out) {
-        let mut ready: Vec<(Secs, MachineId)> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| {
-                m.direct.is_none()
-                    && now >= m.direct_after
-                    && (m.push && m.session != 0 && m.lapsed.is_none() || m.hail)
-            })
-            .map(|(id, m)| (m.direct_after, id.clone()))
-            .collect();
-        // Who waited longest first, so that a crowd of silent machines holds up
-        // the others for one round only.
-        ready.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, id) in ready {
-            if self.directs.len() >= DIRECT_MAX {
-                break;
-            }
-            let Some((session, hail)) = self.machines.get(&id).map(|m| (m.session, m.hail)) else {
-                continue;
-            };
-            let (commands, starts) =
-                if session != 0 { self.compose(&id) } else { (Vec::new(), Vec::new()) };
-            if hail || !commands.is_empty() {
-                // An unknown session is refused, with the report we want.
-                self.send_direct(&id, session.max(1), commands, starts, out);
-            }
-        }
-    }
-
-    pub(crate) fn send_direct(
-        &mut self,
-        id: &MachineId,
-        session: u64,
-        commands: Vec<Command>,
-        starts: Vec<TaskId>,
-        out: &mut Out,
-    ) {
-        let Some(m) = self.machines.get_mut(id) else {
-            return;
-        };
-        let op = out.op();
-        m.direct = Some(op);
-        let known = (m.session, m.seq);
-        out.actions.push(Action::Direct {
-            op,
-            addr: m.info.addr.clone(),
-            token: self.term.0,
-            session,
-            commands,
-        });
-        self.directs.insert(op, DirectSent { machine: id.clone(), session, known, starts });
-    }
-
-    /// Machines that are heard but haven't shown for long that they hear us are
-    /// asked directly.
-    pub(crate) fn check_reach(&mut self, now: Secs) {
-        let ask = (self.facts.report_s * REACH_REPORTS + WORKER_GIVES_UP_S) * HAIL_SHARE;
-        for m in self.machines.values_mut() {
-            let heard = m.heard.is_some_and(|h| now - h < self.facts.report_s * SILENT_REPORTS);
-            if heard && m.reached.is_none_or(|at| now - at > ask) {
-                m.hail = true;
-            }
-        }
-    }
-
-    /// Leases that surely ran out.
-    pub(crate) fn lapse(&mut self, now: Secs) {
-        let life = self.facts.lease_s * (1.0 + DRIFT) + LEASE_MARGIN_S;
-        let lapsed: Vec<MachineId> = self
-            .machines
-            .iter()
-            .filter(|(_, m)| m.lapsed.is_none() && now > m.answered + life)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in lapsed {
-            if let Some(m) = self.machines.get_mut(&id) {
-                m.lapsed = Some(m.session);
-                m.hail = false;
-                m.confirmed = true;
-            }
-            self.log.push(format!("event=lapsed machine={id} term={}", self.term.0));
-            self.lose_tasks(&id, now);
-        }
-    }
 }
