Bound what a rental plan lays out, so that a job of 100,000 tasks stalls nobody

Cause (reading): a plan laid out every waiting task twice a second, and a service of 100,000 tasks on a site without limits could plan 12,500 machines, each against all thought of before: seconds of the owner thread. Now 4,000 tasks and 250 machines a round at most. Test: the_largest_job_holds_up_no_other.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -273,6 +273,8 @@
 pub const PLAN_MAX: usize = 24;
 /// And as a share of the tasks that find no room, if many do.
 pub const PLAN_SHARE: f64 = 0.125;
+/// And never more than this: a second's rentals at the cloud's usual rate.
+pub const PLAN_CEILING: usize = 250;
 /// Of the machines that could take a lost replica at once, as they hold its image
 /// and have or lend the room, so many are kept, as a share of the replicas of that
 /// image: machines die by the dozen, and a fetch keeps users waiting.
@@ -302,6 +304,9 @@
 /// than the usual spread, as estimates are off by half and machines get lost,
 /// and a late job costs users more than a machine for a minute.
 pub const RENT_SPREAD: f64 = 2.5;
+/// Waiting tasks that a rental plan lays out at most: more than a fleet of a
+/// thousand machines could start in a minute, and a job may have 100,000.
+pub const LAID_OUT_MAX: u32 = 4_000;
 /// A task that runs longer than the mean is thought to take this share of it
 /// more.
 pub const OVERDUE_SHARE: f64 = 0.3;
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -130,8 +130,8 @@
         let mut thought: Vec<Room> = Vec::new();
         let mut plan: BTreeMap<(String, String, bool), u32> = BTreeMap::new();
         self.swap(now, &rooms, &mut plan);
-        let all: u32 = lacking.iter().map(|(_, n)| n).sum();
-        let most = PLAN_MAX.max((f64::from(all) * PLAN_SHARE) as usize);
+        let all: f64 = lacking.iter().map(|(_, n)| f64::from(*n)).sum();
+        let most = PLAN_MAX.max((all * PLAN_SHARE) as usize).min(PLAN_CEILING);
         for (spec, count) in lacking {
             let need = Need::of(&spec, &self.hire.types);
             for left in (1..=count).rev() {
@@ -234,13 +234,15 @@
         waiting.sort_by(|a, b| a.0.total_cmp(&b.0));
         let boot = self.hire.types.iter().map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
         let mut late = Vec::new();
+        let mut laid_out = 0;
         for (due, job, run, width) in waiting {
             let spec = job.spec();
             let mut count = 0;
             for _ in 0..job.waiting() {
-                if !book(spec) {
+                if laid_out >= LAID_OUT_MAX || !book(spec) {
                     break;
                 }
+                laid_out += 1;
                 let taken: Vec<u64> =
                     (0..width).filter_map(|_| cpus.pop().map(|Reverse(at)| at)).collect();
                 let whole = taken.len() == width as usize;
--- a/crates/core/tests/cluster.rs
+++ b/crates/core/tests/cluster.rs
@@ -137,7 +137,7 @@
     for seed in 0..4 {
         let mut world = World::new(seed, Vec::new());
         world.pace = (3, 900);
-        world.wide = Some(40);
+        world.wide = Some((40, 60));
         world.run(1_000);
         let broken: Vec<&String> =
             world.broken.iter().filter(|b| !b.contains("never told")).collect();
@@ -163,3 +163,16 @@
         }
     }
 }
+
+/// A job of the largest size holds up nobody else, and its records stay within
+/// the store's limits (the stand-in checks them).
+#[test]
+fn the_largest_job_holds_up_no_other() {
+    let mut world = World::new(5, Vec::new());
+    world.wide = Some((2, 100_000));
+    world.run(900);
+    let others: Vec<&String> =
+        world.broken.iter().filter(|b| !b.starts_with("req-000002 was never told")).collect();
+    assert!(others.is_empty(), "{others:?}");
+    assert!(world.begun.contains_key(&JobId::new("req-000002")));
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -197,8 +197,9 @@
     pub begun: BTreeMap<JobId, u32>,
     /// When each job was first told accepted, steps.
     pub accepted_at: BTreeMap<JobId, u32>,
-    /// No services, and the job of this number is wide and hopeless.
-    pub wide: Option<u32>,
+    /// No services, and the job of this number is wide, with so many tasks, and
+    /// hopeless.
+    pub wide: Option<(u32, u32)>,
 }
 
 impl World {
@@ -433,9 +434,9 @@
         let (every, until) = self.pace;
         if self.step % every == 5 % every && self.step < until {
             let mut spec = self.spec(self.step / every);
-            if self.wide == Some(self.step / every) {
+            if let Some((_, tasks)) = self.wide.filter(|(n, _)| *n == self.step / every) {
                 spec.kind = Kind::Array;
-                spec.tasks = 60;
+                spec.tasks = tasks;
                 spec.deadline_s = Some(1.0);
             }
             self.specs.insert(spec.id.clone(), spec);
