--- a/crates/core/tests/desk.rs
+++ b/crates/core/tests/desk.rs
@@ -1,12 +1,14 @@
 //! Users at a controller that is asked more than it can take, or cut off.
 
-use marblebarrow_core::consts::USER_WRITES_MAX;
+use marblebarrow_core::consts::{FINALS_KEPT, USER_WRITES_MAX};
 use marblebarrow_core::event::*;
 use marblebarrow_core::facts::{Facts, Team, Tuning};
 use marblebarrow_core::node::Node;
+use marblebarrow_proto::cbor::to_value;
 use marblebarrow_proto::ids::{JobId, NodeId};
 use marblebarrow_proto::job::{JobSpec, Kind, Priority};
-use marblebarrow_proto::wire::MachineType;
+use marblebarrow_proto::records::EndRecord;
+use marblebarrow_proto::wire::{Item, MachineType, Stage};
 
 fn node() -> Node {
     let team = Team { name: "t".into(), cpus: 0.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 };
@@ -136,3 +138,54 @@
     node.handle(at + 10.0, 0, Event::User(ReplyTo(2), UserRequest::Poll(JobId::new("req-1"))));
     assert!(matches!(replies(&mut node)[..], [(2, Answer::Unavailable(_))]));
 }
+
+/// Memory stays bounded over many finished jobs: the oldest last words are
+/// forgotten, and read from the store again when somebody asks.
+#[test]
+fn forgotten_last_words_are_read_again() {
+    let mut node = node();
+    node.take_actions();
+    let id = |n: usize| JobId::new(&format!("req-{n}"));
+    // Asks; plays the store, which holds a last word for every job. The answer,
+    // and how often the store was asked.
+    let ask = |at: f64, n: usize, node: &mut Node| {
+        node.handle(at, 0, Event::User(ReplyTo(n as u64), UserRequest::Poll(id(n))));
+        node.tick(at, 0);
+        let (mut asked, mut told) = (0, None);
+        loop {
+            let actions = node.take_actions();
+            if actions.is_empty() {
+                return (told, asked);
+            }
+            for action in actions {
+                match action {
+                    Action::Reply(_, answer) => told = Some(answer),
+                    Action::Store(op, StoreRequest::Commit(txn)) => {
+                        asked += 1;
+                        let keys = txn.conds.into_iter().map(|c| c.key).collect();
+                        node.handle(at, 0, Event::Store(op, StoreResult::Conflict(keys)));
+                    }
+                    Action::Store(op, StoreRequest::Get(key)) if key.starts_with("end/") => {
+                        asked += 1;
+                        let value = to_value(&EndRecord { cancelled: false, tasks: 1 });
+                        let item = Item { key, value, version: 3 };
+                        node.handle(at, 0, Event::Store(op, StoreResult::Value(Some(item))));
+                    }
+                    _ => {}
+                }
+            }
+        }
+    };
+    let done =
+        |told: &Option<Answer>| matches!(told, Some(Answer::Job(200, s)) if s.stage == Stage::Done);
+    let mut at = 1.0;
+    for n in 0..FINALS_KEPT + 5 {
+        at += 1.0;
+        let (told, asked) = ask(at, n, &mut node);
+        assert!(done(&told) && asked == 2, "{n}: {told:?} after {asked}");
+    }
+    let (told, asked) = ask(at + 1.0, FINALS_KEPT + 4, &mut node);
+    assert!(done(&told) && asked == 0, "the newest is remembered");
+    let (told, asked) = ask(at + 2.0, 0, &mut node);
+    assert!(done(&told) && asked == 2, "the oldest is read again");
+}
