--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -306,6 +306,9 @@
 /// It should be worked off within this, seconds: the least that a machine is
 /// worth renting for.
 pub const DRAIN_S: f64 = 45.0;
+/// A job without a deadline whose class has an aim on being done is due after this
+/// share of it: room for what goes wrong.
+pub const FINISH_SHARE: f64 = 0.6;
 /// A machine costs this long at least (protocol page), seconds.
 pub const LEAST_BILL_S: f64 = 60.0;
 /// A boot of more than this many times the usual is given up.
--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -98,6 +98,12 @@
 }
 
 impl Facts {
+    /// Within how many seconds jobs of a class should be done, if an aim says so.
+    pub fn finish_s(&self, class: &str) -> Option<f64> {
+        let aims = self.finishes.iter().filter(|a| a.class == class);
+        aims.map(|a| a.within_s).reduce(f64::min)
+    }
+
     /// Whether an aim says by when jobs of a class should be done.
     pub fn aimed(&self, class: &str) -> bool {
         self.deadlines.iter().any(|a| a.class == class)
--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -262,11 +262,16 @@
         }
     }
 
+    /// Whether anything waits but work for spare capacity and mistaken jobs.
+    fn usual_waits(&self) -> bool {
+        self.jobs.values().any(|j| j.waiting() > 0 && !j.spare() && !j.mistaken())
+    }
+
     /// Empties ordinary machines that hold nothing but work for spare capacity, a
     /// few a round, unless others wait for room or services want them warm. The
     /// work saves what it did, and goes on where it is cheap.
     fn clear_spare(&mut self, now: Secs, ids: Vec<MachineId>) {
-        if self.jobs.values().any(|j| j.waiting() > 0 && !j.spare() && !j.mistaken()) {
+        if self.usual_waits() {
             return;
         }
         let most = (ids.len() as f64 * RETURN_SHARE).ceil() as usize;
@@ -279,15 +284,19 @@
             m.push = true;
             self.log.push(format!("event=clear machine={id} tasks={}", m.tasks.len()));
             for task in m.tasks.clone() {
-                let Some(job) = self.jobs.get_mut(&task.job) else { continue };
-                let save_s = job.spec().save_s * 2.0;
-                if let Some(live) = job.live.get_mut(&task.index) {
-                    live.stop.get_or_insert(save_s);
-                }
+                self.save_and_stop(&task);
             }
         }
     }
 
+    fn save_and_stop(&mut self, task: &TaskId) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let save_s = job.spec().save_s * 2.0;
+        if let Some(live) = job.live.get_mut(&task.index) {
+            live.stop.get_or_insert(save_s);
+        }
+    }
+
     /// For each image of running replicas: how many of these there are, and on
     /// how many ordinary machines one more could start without a fetch.
     fn spare_holders(&self, now: Secs) -> HashMap<String, Spare> {
@@ -332,6 +341,7 @@
         if self.recovering || now < self.hire.next_gather {
             return;
         }
+        // Not while idle work waits either: it fills what replicas leave.
         let waiting = self.jobs.values().any(|j| j.waiting() > 0);
         let Some(id) = (!waiting).then(|| self.least_used(now)).flatten() else { return };
         if !self.fits_elsewhere(now, &id) || !self.warm_without(now, &id) {
@@ -344,10 +354,7 @@
         m.push = true;
         self.log.push(format!("event=gather machine={id} replicas={}", m.tasks.len()));
         for task in m.tasks.clone() {
-            let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
-            if let Some(live) = live {
-                live.stop.get_or_insert(0.0);
-            }
+            self.save_and_stop(&task);
         }
     }
 
@@ -370,7 +377,7 @@
             .iter()
             .filter(|(_, m)| {
                 !m.info.spot
-                    && !m.tasks.is_empty()
+                    && m.services > 0
                     && m.direct.is_none()
                     && m.usable(now, self.facts.report_s)
                     && m.tasks.iter().all(movable)
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -116,6 +116,8 @@
     pub closing: bool,
     /// An aim says by when jobs of its class should be done.
     pub aimed: bool,
+    /// Within how many seconds, if an aim says so whatever their deadlines.
+    pub finish_s: Option<Secs>,
     /// A gang found itself incomplete: the tasks that are done are needed too.
     pub whole_gang: bool,
     failed_on: BTreeSet<MachineId>,
@@ -166,6 +168,7 @@
             cancelled: false,
             closing: false,
             aimed: false,
+            finish_s: None,
             whole_gang: false,
             failed_on: BTreeSet::new(),
             successes: 0,
@@ -294,9 +297,20 @@
         self.mean_run().unwrap_or(if guess > 0.0 { guess } else { DEFAULT_RUN_S })
     }
 
-    /// When it is due, on our clock.
-    pub fn due(&self) -> Option<Secs> {
-        self.spec().deadline_s.map(|d| self.arrived + d)
+    /// When it is due, on our clock: by its deadline, else well before an aim on its
+    /// end, else after as many waves as are usual. (Without the aim, 25,000 tasks of
+    /// five seconds counted as late when they came, and hundreds of machines were
+    /// rented for a minute, though minutes were left.)
+    pub fn due(&self) -> Secs {
+        let aim = self.finish_s.map(|s| s * FINISH_SHARE);
+        let waves = self.likely_run() * (1.0 + WAVES_MAX);
+        self.arrived + self.spec().deadline_s.or(aim).unwrap_or(waves)
+    }
+
+    /// Whether a backlog of it presses nobody: no deadline, and time enough.
+    pub fn unhurried(&self, now: Secs) -> bool {
+        let left = self.due() - self.likely_run() * RENT_SPREAD - now;
+        self.spec().deadline_s.is_none() && self.finish_s.is_some() && left > DRAIN_S
     }
 
     /// Takes a task as placed; records ahead a few that come next.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -181,6 +181,7 @@
             Job::new(record.clone(), *version, now - age, &self.facts.tuning, &mut self.rng);
         job.cancelled = replica.cuts.contains(id);
         job.aimed = self.facts.aimed(&job.spec().class);
+        job.finish_s = self.facts.finish_s(&job.spec().class);
         self.hire.saw_job(now, job.spec());
         self.log.push(format!(
             "event=known job={id} kind={:?} rank={:?} tasks={} age_s={age:.1} term={}",
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -283,7 +283,11 @@
         }
         let steady = seen.iter().map(|(_, c)| *c).fold(f64::INFINITY, f64::min);
         let waits = |j: &&Job| {
-            j.spec().kind == Kind::Array && j.waiting() > 0 && !j.mistaken() && !j.spare()
+            j.spec().kind == Kind::Array
+                && j.waiting() > 0
+                && !j.mistaken()
+                && !j.spare()
+                && !j.unhurried(now)
         };
         let widest = self.jobs.values().filter(waits).max_by_key(|j| j.waiting());
         let Some((spec, run)) = widest.map(|j| (j.spec().clone(), j.likely_run())) else { return };
@@ -339,8 +343,7 @@
                 cpus.extend((0..width).map(|_| Reverse(ms(ends))));
             }
             if job.waiting() > 0 && !job.mistaken() && !job.spare() {
-                let due = job.due().unwrap_or(job.arrived + run * (1.0 + WAVES_MAX));
-                waiting.push((due, job, run, width));
+                waiting.push((job.due(), job, run, width));
             }
         }
         waiting.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -362,12 +365,13 @@
         for (due, job, run, width) in waiting {
             let spec = job.spec();
             let mut count = 0;
+            let unhurried = job.unhurried(now);
             for _ in 0..job.waiting() {
                 if laid_out >= most || !book(spec) {
                     break;
                 }
                 laid_out += 1;
-                laid_cpus += spec.cpus;
+                laid_cpus += if unhurried { 0.0 } else { spec.cpus };
                 let taken: Vec<u64> =
                     (0..width).filter_map(|_| cpus.pop().map(|Reverse(at)| at)).collect();
                 let whole = taken.len() == width as usize;
