--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -192,6 +192,9 @@
 /// Different machines on which a job must have failed, with no success, to be
 /// taken for one submitted with a mistake.
 pub const BAD_JOB_MACHINES: usize = 2;
+/// A replica that ran for this long, seconds, shows that its service is sound: those
+/// submitted with a mistake fail within seconds.
+pub const SERVES_S: f64 = 20.0;
 /// Tasks that a job taken for mistaken may have under way at once.
 pub const BAD_JOB_TASKS: usize = 1;
 /// A machine whose tasks take this many times their jobs' mean is slow.
@@ -311,6 +314,22 @@
 pub const FINISH_SHARE: f64 = 0.6;
 /// A machine costs this long at least (protocol page), seconds.
 pub const LEAST_BILL_S: f64 = 60.0;
+/// Weight of a boot just seen in what is expected of the next: most of it, as boots
+/// come by the dozen and trouble with them ends as suddenly as it begins.
+pub const BOOT_WEIGHT: f64 = 0.3;
+/// Usual spread of boots (protocol page: to 1.5 times the usual).
+pub const BOOT_SPREAD: f64 = 1.6;
+/// Machines overdue by that, of a type and zone, that say boots are slow there.
+pub const BOOTS_LATE: usize = 2;
+/// Slowest boots reckoned with, in usual ones: beyond, machines won't come.
+pub const BOOT_SLOWEST: f64 = 8.0;
+/// A boot that is overdue takes this share of what was expected more.
+pub const BOOT_MORE: f64 = 0.3;
+/// A machine counts as room on its way for this many expected boots.
+pub const BOOT_COUNTED: f64 = 2.0;
+/// Bounds of the boots that the warm reserve reckons with, in usual ones: what is
+/// kept warm is paid for, trouble or not.
+pub const BOOT_WARM: (f64, f64) = (0.5, 2.0);
 /// A boot of more than this many times the usual is given up.
 pub const BOOT_GIVE_UP: f64 = 4.0;
 /// A zone that had no capacity isn't asked again for this long, seconds.
--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -29,14 +29,16 @@
     /// Picks the machines to return.
     pub(crate) fn return_machines(&mut self, now: Secs) {
         let lag = self.facts.list_lag_s;
-        let boots: BTreeMap<&str, f64> =
-            self.hire.types.iter().map(|t| (t.name.as_str(), t.boot_s)).collect();
         let mut give_up = Vec::new();
         let mut vanished = Vec::new();
         for (id, b) in &self.hire.booting {
-            let boot = boots.get(b.kind.as_str()).copied().unwrap_or(0.0);
+            // Nor before the others there are expected.
+            let t = self.hire.types.iter().find(|t| t.name == b.kind);
+            let boot = t.map_or(0.0, |t| {
+                (t.boot_s * BOOT_GIVE_UP).max(self.hire.boot(t, &b.zone) * BOOT_COUNTED)
+            });
             let age = now - b.since;
-            if b.failed || age > boot * BOOT_GIVE_UP + lag {
+            if b.failed || age > boot + lag {
                 give_up.push(id.clone());
             } else if b.listed_at.map_or(age, |at| now - at) > lag * 3.0 + LIST_EVERY_S * 2.0 {
                 // Taken back before it reported, or never more than a promise.
--- a/crates/core/src/hire.rs
+++ b/crates/core/src/hire.rs
@@ -57,6 +57,8 @@
     pub(crate) again: Vec<Rent>,
     pub(crate) release: BTreeSet<MachineId>,
     pub(crate) releasing: bool,
+    /// Boot times seen lately, as multiples of the usual, by type and zone.
+    pub(crate) boots: BTreeMap<(String, String), f64>,
     pub(crate) no_capacity: BTreeMap<(String, String, bool), Secs>,
     pub(crate) next_request: u64,
     pub(crate) next_zone: usize,
@@ -90,6 +92,7 @@
             again: Vec::new(),
             release: BTreeSet::new(),
             releasing: false,
+            boots: BTreeMap::new(),
             no_capacity: BTreeMap::new(),
             next_request: 0,
             next_zone: 0,
@@ -106,8 +109,49 @@
     }
 
     /// A machine reported: it is up.
-    pub(crate) fn heard(&mut self, id: &MachineId) {
-        self.booting.remove(id);
+    pub(crate) fn heard(&mut self, now: Secs, id: &MachineId) {
+        let Some(b) = self.booting.remove(id) else { return };
+        let usual = self.usual_boot(&b.kind);
+        if usual > 0.0 && !b.failed {
+            let seen = ((now - b.since) / usual).clamp(0.0, BOOT_SLOWEST);
+            let factor = self.boots.entry((b.kind, b.zone)).or_insert(1.0);
+            *factor += (seen - *factor) * BOOT_WEIGHT;
+        }
+    }
+
+    fn usual_boot(&self, kind: &str) -> Secs {
+        self.types.iter().find(|t| t.name == kind).map_or(0.0, |t| t.boot_s)
+    }
+
+    /// What a machine of that type and zone takes to come up, by what was seen
+    /// lately.
+    pub(crate) fn boot(&self, t: &MachineType, zone: &str) -> Secs {
+        let key = (t.name.clone(), zone.to_owned());
+        t.boot_s * self.boots.get(&key).copied().unwrap_or(1.0)
+    }
+
+    /// The same where it comes up soonest.
+    pub(crate) fn boot_anywhere(&self, t: &MachineType) -> Secs {
+        t.zones.iter().map(|z| self.boot(t, z)).reduce(f64::min).unwrap_or(t.boot_s)
+    }
+
+    /// Machines that are overdue say so before any of them is up: where most are,
+    /// the others will be, and the backlog would be rented for again and again.
+    pub(crate) fn watch_boots(&mut self, now: Secs) {
+        let mut ages: BTreeMap<(String, String), Vec<Secs>> = BTreeMap::new();
+        for b in self.booting.values().filter(|b| !b.failed && !b.up) {
+            ages.entry((b.kind.clone(), b.zone.clone())).or_default().push(now - b.since);
+        }
+        for (key, ages) in ages {
+            let usual = self.usual_boot(&key.0);
+            let factor = self.boots.get(&key).copied().unwrap_or(1.0);
+            let overdue = |a: &&Secs| **a > usual * factor * BOOT_SPREAD;
+            let late: Vec<Secs> = ages.iter().filter(overdue).copied().collect();
+            if usual > 0.0 && late.len() >= BOOTS_LATE && late.len() * 2 > ages.len() {
+                let least = late.into_iter().fold(f64::INFINITY, f64::min);
+                self.boots.insert(key, (least / usual).min(BOOT_SLOWEST));
+            }
+        }
     }
 
     /// A job came: services set the warm reserve.
@@ -170,6 +214,7 @@
         }
         if now >= h.next_think && h.listed_once {
             h.next_think = now + FLEET_EVERY_S;
+            h.watch_boots(now);
             self.return_machines(now);
             self.gather(now);
             self.rent(now, out);
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -121,6 +121,7 @@
     /// A gang found itself incomplete: the tasks that are done are needed too.
     pub whole_gang: bool,
     failed_on: BTreeSet<MachineId>,
+    /// Some task of it completed, so that what fails of it speaks of the machine.
     successes: u32,
     errors: u32,
     not_before: Secs,
@@ -269,7 +270,27 @@
     /// Whether it looks submitted with a mistake: failed on several machines
     /// and succeeded on none.
     pub fn mistaken(&self) -> bool {
-        self.successes == 0 && self.failed_on.len() >= BAD_JOB_MACHINES
+        !self.sound() && self.failed_on.len() >= BAD_JOB_MACHINES
+    }
+
+    /// Whether it was seen to succeed, under whatever leader.
+    pub fn sound(&self) -> bool {
+        self.successes > 0 || !self.finished.is_empty()
+    }
+
+    /// A task of it has run for so long. A service never completes, but one that
+    /// serves is sound: two machines that failed under it in its life once would
+    /// have kept its lost replicas away while the others served.
+    pub fn ran_for(&mut self, run: Secs) {
+        if self.spec().kind == Kind::Service && run > SERVES_S {
+            self.successes = self.successes.max(1);
+            self.failed_on.clear();
+        }
+    }
+
+    /// Machines on which it failed while it had succeeded nowhere.
+    pub fn unexplained(&self) -> Vec<MachineId> {
+        if self.sound() { Vec::new() } else { self.failed_on.iter().cloned().collect() }
     }
 
     /// Whether it failed on this machine.
@@ -484,6 +505,33 @@
         assert_eq!((j.mean_run(), j.queue), (Some(30.0), Some(2)));
     }
 
+    /// A service that serves is no mistaken job, whatever machines failed under it.
+    #[test]
+    fn a_service_that_serves_is_not_taken_for_mistaken() {
+        let mut j = job(4);
+        let record = Arc::make_mut(&mut j.record);
+        record.spec.kind = Kind::Service;
+        for (n, m) in [(0, "a"), (1, "b"), (2, "c")] {
+            place(&mut j, n, m, 0.0);
+        }
+        j.ran_for(SERVES_S + 1.0);
+        j.over(0, Outcome::Error, 40.0);
+        j.over(1, Outcome::Error, 80.0);
+        assert!(!j.mistaken() && j.next_task(200.0).is_some());
+    }
+
+    /// What a failure says of the machine shows when the job succeeds elsewhere.
+    #[test]
+    fn failures_are_explained_by_a_success_elsewhere() {
+        let mut j = job(10);
+        place(&mut j, 0, "faulty", 0.0);
+        j.over(0, Outcome::Error, 1.0);
+        assert_eq!(j.unexplained(), vec![MachineId::new("faulty")]);
+        place(&mut j, 0, "sound", 2.0);
+        j.over(0, Outcome::Done, 10.0);
+        assert!(j.sound() && j.unexplained().is_empty());
+    }
+
     /// One slow pilot sinks a job only until other tasks are done.
     #[test]
     fn a_slow_pilot_is_outvoted() {
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -43,12 +43,14 @@
             }
         }
         for b in self.hire.booting.values().filter(|b| !b.failed) {
-            if let Some((kind, t)) = kinds.get(b.kind.as_str())
-                && (now - b.since < t.boot_s * 2.0 + 5.0
-                    || b.up && now - self.hire.office_at < RENT_AFTER_S * 2.0)
-            {
+            let Some((kind, t)) = kinds.get(b.kind.as_str()) else { continue };
+            let boot = self.hire.boot(t, &b.zone);
+            let counted = t.boot_s.max(boot) * BOOT_COUNTED + 5.0;
+            if now - b.since < counted || b.up && now - self.hire.office_at < RENT_AFTER_S * 2.0 {
+                let overdue = now > b.since + boot && !b.up;
+                let more = boot.min(t.boot_s) * BOOT_MORE;
                 rooms.push(Room {
-                    at: b.since + t.boot_s,
+                    at: if overdue { now + more } else { b.since + boot },
                     free: [t.cpus, t.gpus, t.memory_gb],
                     spot: b.spot,
                     kind: *kind,
@@ -62,7 +64,9 @@
     /// Spare service places wanted: as many as come while a machine boots and
     /// fetches, per class.
     fn warm_wanted(&mut self, now: Secs) -> Vec<(JobSpec, u32)> {
-        let boot = self.hire.types.iter().map(|t| t.boot_s).fold(0.0, f64::max);
+        let bounds = |t: &MachineType| (t.boot_s * BOOT_WARM.0, t.boot_s * BOOT_WARM.1);
+        let boot = |t: &MachineType| self.hire.boot_anywhere(t).clamp(bounds(t).0, bounds(t).1);
+        let boot = self.hire.types.iter().map(boot).fold(0.0, f64::max);
         let fetch = self.hire.types.iter().map(|t| t.fetch_gb_per_s).fold(f64::INFINITY, f64::min);
         let mut wanted = Vec::new();
         for class in self.hire.services.values_mut() {
@@ -356,7 +360,8 @@
             };
             t.zones.iter().any(|z| !none(z, true) || !none(z, false))
         };
-        let boot = h.types.iter().filter(had).map(|t| t.boot_s).fold(f64::INFINITY, f64::min);
+        let boot =
+            h.types.iter().filter(had).map(|t| h.boot_anywhere(t)).fold(f64::INFINITY, f64::min);
         let mut late = Vec::new();
         // Those beyond need no laying out: they wait longer than a boot anyway.
         let most = LAID_OUT_MIN.max((cpus.len() as f64 * LAID_OUT_SHARE) as u32);
@@ -441,7 +446,7 @@
         let h = &mut self.hire;
         h.no_capacity.retain(|_, until| now < *until);
         h.next_zone += 1;
-        let mut best: Option<(f64, usize, (usize, usize), bool)> = None;
+        let mut best: Option<(f64, (bool, usize), (usize, usize), bool)> = None;
         for (k, t) in h.types.iter().enumerate().filter(|(_, t)| type_allows(spec, t)) {
             let holds = per_machine(spec, t);
             if holds == 0 {
@@ -461,7 +466,9 @@
                         continue;
                     }
                     let price = if spot { t.spot_price } else { t.price } / used;
-                    let turn = (i + h.next_zone) % t.zones.len().max(1);
+                    // Zones in turn, but those last where boots are slow.
+                    let slow = h.boot(t, zone) > t.boot_s * BOOT_SPREAD;
+                    let turn = (slow, (i + h.next_zone) % t.zones.len().max(1));
                     if best.as_ref().is_none_or(|b| (price, turn) < (b.0, b.1)) {
                         best = Some((price, turn, (k, i), spot));
                     }
@@ -471,7 +478,7 @@
         let (_, _, (kind, zone), spot) = best?;
         let t = h.types.get(kind)?;
         let free = [t.cpus, t.gpus, t.memory_gb];
-        let room = Room { at: now + t.boot_s, free, spot, kind, zone };
+        let room = Room { at: now + h.boot(t, t.zones.get(zone)?), free, spot, kind, zone };
         Some((room, (t.name.clone(), t.zones.get(zone)?.clone(), spot)))
     }
 }
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -103,7 +103,7 @@
                 now,
             )
         });
-        self.hire.heard(id);
+        self.hire.heard(now, id);
         if m.heard.is_none() {
             m.learn_type(self.hire.types.iter().find(|t| t.name == m.info.kind));
         }
@@ -228,7 +228,8 @@
                             ));
                         }
                         live.phase = Phase::Running;
-                        live.ran_from.get_or_insert(now);
+                        let from = *live.ran_from.get_or_insert(now);
+                        job.ran_for(now - from);
                     } else {
                         live.phase = Phase::Seen;
                     }
@@ -321,6 +322,11 @@
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
+        // It can succeed: its failures so far were the machines'. Until then they say
+        // nothing: jobs submitted with a mistake fail everywhere, and many of them
+        // once would have had sound machines returned.
+        let faulty = if outcome == Outcome::Done { job.unexplained() } else { Vec::new() };
+        let can_succeed = job.sound();
         if outcome == Outcome::Done && !job.finished.contains(n) {
             if !ours && let Some(other) = job.live.get_mut(&n) {
                 // The result is here; the other attempt is of no more use.
@@ -335,6 +341,11 @@
         } else if ours {
             self.over(&task.job, n, outcome, now);
         }
+        for other in faulty {
+            if let Some(om) = self.machines.get_mut(&other) {
+                om.errors += 1;
+            }
+        }
         if !ours {
             return;
         }
@@ -353,10 +364,7 @@
                 }
             }
             Outcome::Error => {
-                let mistaken = self.jobs.get(&task.job).is_some_and(|j| j.mistaken());
-                if !mistaken {
-                    m.errors += 1;
-                }
+                m.errors += u32::from(can_succeed);
                 self.log.push(format!("event=failed task={task} machine={id}"));
             }
             Outcome::Refused => {
--- a/crates/core/tests/cluster.rs
+++ b/crates/core/tests/cluster.rs
@@ -23,6 +23,9 @@
         (10u32..400).prop_map(Trouble::LateCopies),
         (1u32..200).prop_map(Trouble::StoreSlow),
         (1u32..200).prop_map(Trouble::PeersRefuse),
+        (10u32..200).prop_map(Trouble::LateWrites),
+        (0u32..60, 1u32..300).prop_map(|(f, s)| Trouble::Boots(f, s)),
+        (1u32..60).prop_map(Trouble::PollStorm),
         (0usize..8, 1u32..300).prop_map(|(m, s)| Trouble::MachineSlow(m, s)),
         (1u32..150).prop_map(Trouble::StoreDown),
         (0usize..3, 1u32..200).prop_map(|(n, s)| Trouble::StoreRefuses(n, s)),
@@ -36,7 +39,7 @@
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: 96,
+        cases: 128,
         rng_seed: RngSeed::Fixed(7),
         failure_persistence: None,
         max_shrink_iters: 60,
@@ -47,8 +50,12 @@
     fn rules_hold_under_troubles(
         seed in any::<u64>(),
         troubles in proptest::collection::vec(trouble(), 0..7),
+        gaps in any::<bool>(),
+        mistaken in proptest::option::of(2u32..9),
     ) {
         let mut world = World::new(seed, troubles);
+        (world.gaps, world.mistaken) = (gaps, mistaken);
+        world.width = if gaps { 3 } else { 6 };
         world.run(1_600);
         prop_assert_eq!(world.broken.clone(), Vec::<String>::new());
     }
@@ -334,3 +341,35 @@
         }
     }
 }
+
+/// Every other job fails on every machine until its user cancels it. No sound machine
+/// is taken for faulty, nothing grows, and all other work is done in its time.
+#[test]
+fn mistaken_jobs_harm_nobody() {
+    for seed in 0..6 {
+        let mut world = World::new(seed, Vec::new());
+        (world.mistaken, world.pace) = (Some(2), (12, 500));
+        (world.width, world.size) = (40, (30, 100.0));
+        world.run(1_600);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.cordons, 0, "seed {seed}");
+        assert!(world.fails < 1_200, "seed {seed}: {} failed starts", world.fails);
+    }
+}
+
+/// Machines come up late, some never, or at once, before the answer that names them.
+/// The work is done, and machines that stay away are neither waited for nor rented
+/// for over and over.
+#[test]
+fn boots_that_are_late_or_never_or_at_once() {
+    for seed in 0..4 {
+        for (tenths, most) in [(10, 50), (0, 50), (60, 70)] {
+            let mut world = World::new(seed, vec![(1, Trouble::Boots(tenths, 400))]);
+            world.no_services = true;
+            (world.pace, world.size, world.width) = ((10, 300), (400, 400.0), 30);
+            world.run(1_600);
+            assert_eq!(world.broken, Vec::<String>::new(), "seed {seed} boots {tenths}");
+            assert!(world.rented <= most, "seed {seed} boots {tenths}: {} rented", world.rented);
+        }
+    }
+}
--- a/crates/core/tests/world/mod.rs
+++ b/crates/core/tests/world/mod.rs
@@ -52,6 +52,14 @@
     StoreSlow(u32),
     /// Controllers don't reach each other.
     PeersRefuse(u32),
+    /// A third of all transactions get no answer, and take effect 2 to 12 s later,
+    /// after newer ones.
+    LateWrites(u32),
+    /// Machines rented take so many tenths of the usual boot, and every third of them
+    /// never comes up if it is more than that.
+    Boots(u32, u32),
+    /// Users ask eight times as often.
+    PollStorm(u32),
     /// Tasks on it take six times as long.
     MachineSlow(usize, u32),
 }
@@ -76,6 +84,9 @@
             | Self::LateCopies(s)
             | Self::StoreSlow(s)
             | Self::PeersRefuse(s)
+            | Self::LateWrites(s)
+            | Self::Boots(_, s)
+            | Self::PollStorm(s)
             | Self::MachineSlow(_, s) => *s,
             Self::MachineDies(_) | Self::MachineReborn(_) => 0,
         }
@@ -182,6 +193,10 @@
     store_down_until: u32,
     store_slow_until: u32,
     cloud_down_until: u32,
+    late_writes_until: u32,
+    storm_until: u32,
+    /// How long boots take, in tenths of the usual, and until when.
+    boots: (u32, u32),
     /// Until when reports are copied, and how late the copies may come.
     copies: (u32, u32),
     /// When the last trouble ends.
@@ -228,6 +243,14 @@
     /// Most changes to the store in a second.
     pub changes: usize,
     changed: Vec<(u32, usize)>,
+    /// Jobs whose number divides by this fail on every machine, until cancelled.
+    pub mistaken: Option<u32>,
+    /// Tasks of a job end far apart.
+    pub gaps: bool,
+    /// Attempts that failed.
+    pub fails: u32,
+    /// Machines rented so far.
+    pub rented: u32,
     /// No services at all.
     pub no_services: bool,
     /// Sessions that ended as their lease ran out.
@@ -269,6 +292,9 @@
             store_down_until: 0,
             store_slow_until: 0,
             cloud_down_until: 0,
+            late_writes_until: 0,
+            storm_until: 0,
+            boots: (10, 0),
             copies: (0, 0),
             calm_from,
             heard_of: BTreeMap::new(),
@@ -292,6 +318,10 @@
             accepted_at: BTreeMap::new(),
             wide: None,
             lapses: 0,
+            mistaken: None,
+            gaps: false,
+            fails: 0,
+            rented: 0,
             no_services: false,
             idle: None,
             ordinary: 0,
@@ -444,6 +474,9 @@
                         w.slow_until = step + s;
                     }
                 }
+                Trouble::LateWrites(s) => self.late_writes_until = step + s,
+                Trouble::Boots(tenths, s) => self.boots = (tenths, step + s),
+                Trouble::PollStorm(s) => self.storm_until = step + s,
                 Trouble::LateCopies(s) => self.copies = (step + s, s),
                 Trouble::MachineDeaf(m, s) => {
                     if let Some(w) = self.machines.values_mut().nth(m) {
@@ -462,12 +495,16 @@
                         // Connections to the one before died with it, and who
                         // sent over them learns no more than that.
                         for (at, late) in &mut self.late {
-                            if let Late::Direct { node, boot, op, machine, .. } = late
-                                && machine == id
-                            {
+                            let Late::Direct { node, boot, op, machine, answer, .. } = late else {
+                                continue;
+                            };
+                            if machine == id && *answer {
                                 let event = Event::Direct(*op, DirectResult::Unknown);
                                 *late = Late::Event { node: *node, boot: *boot, event };
                                 *at = step + 15;
+                            } else if machine == id {
+                                // Its sender is told already.
+                                *machine = MachineId::new("gone");
                             }
                         }
                         w.tasks.clear();
@@ -543,7 +580,8 @@
             }
             self.specs.insert(spec.id.clone(), spec);
         }
-        if !self.step.is_multiple_of(10) {
+        let storm = self.step < self.storm_until;
+        if !self.step.is_multiple_of(10) && !storm {
             return;
         }
         for (id, spec) in self.specs.clone() {
@@ -551,10 +589,11 @@
             let over = matches!(self.told.get(&id), Some((Stage::Done | Stage::Cancelled, _)));
             // Services, and one array in five, are cancelled some time.
             let number: u32 = id.as_str()[4..].parse().unwrap_or(0);
-            let cancel = (spec.kind == Kind::Service || number.is_multiple_of(5))
-                && self.replicas == 1
-                && self.step > number * 25 + 250
-                && self.accepted.contains(&id);
+            let cancel =
+                (spec.kind == Kind::Service || number.is_multiple_of(5) || self.mistaken(&id))
+                    && self.replicas == 1
+                    && self.step > number * 25 + 250
+                    && self.accepted.contains(&id);
             let (what, req) = if !self.accepted.contains(&id) {
                 ('s', UserRequest::Submit(Box::new(spec)))
             } else if cancel && !over {
@@ -569,6 +608,11 @@
         }
     }
 
+    fn mistaken(&self, id: &JobId) -> bool {
+        let number: u32 = id.as_str()[4..].parse().unwrap_or(0);
+        self.mistaken.is_some_and(|k| number.is_multiple_of(k))
+    }
+
     fn ask(&mut self, n: usize, asked: Asked, event: impl FnOnce(ReplyTo) -> Event) {
         if self.hosts[n].node.is_none() {
             return;
@@ -690,10 +734,17 @@
                 }
                 Action::Store(op, req) => {
                     // Some answers are lost, some requests take effect late.
-                    let answer = self.rng.random_range(0..40) != 0;
+                    let late = self.step < self.late_writes_until
+                        && matches!(req, StoreRequest::Commit(_))
+                        && self.rng.random_range(0..3) == 0;
+                    let answer = !late && self.rng.random_range(0..40) != 0;
                     let slow = self.step < self.store_slow_until;
                     let most = if answer { if slow { 20 } else { 1 } } else { 60 };
-                    let delay = self.rng.random_range(0..most);
+                    let delay = if late {
+                        self.rng.random_range(20..120)
+                    } else {
+                        self.rng.random_range(0..most)
+                    };
                     if answer && delay > 12 {
                         // The link gives up before the answer is there.
                         let event = Event::Store(op, StoreResult::Unknown);
@@ -1050,8 +1101,12 @@
                 }
                 let mut names = Vec::new();
                 self.ordinary += if rent.spot { 0 } else { rent.count };
+                self.rented += rent.count;
+                let factor = if self.step < self.boots.1 { self.boots.0 } else { 10 };
                 for _ in 0..rent.count {
                     self.next_machine += 1;
+                    let never = factor > 10 && self.next_machine.is_multiple_of(3);
+                    let boot = if never { 1e9 } else { 0.3 * f64::from(factor) };
                     let id = MachineId::new(&format!("n-{:04}", self.next_machine));
                     names.push(id.clone());
                     self.machines.insert(
@@ -1060,7 +1115,7 @@
                             kind: rent.kind.clone(),
                             zone: rent.zone.clone(),
                             spot: rent.spot,
-                            up_at: now + 3.0,
+                            up_at: now + boot,
                             dead: false,
                             cut_until: 0,
                             deaf_until: 0,
@@ -1068,8 +1123,8 @@
                             session: 1,
                             seq: 0,
                             token: 0,
-                            leased_from: now + 3.0,
-                            next_report: now + 3.0,
+                            leased_from: now + boot,
+                            next_report: now + boot,
                             at: 0,
                             waiting: None,
                             tasks: BTreeMap::new(),
@@ -1134,6 +1189,13 @@
             for (task, r) in &mut w.tasks {
                 if r.state == TaskState::Running && now >= r.ends {
                     r.state = TaskState::Exited;
+                    let number: u32 = task.job.as_str()[4..].parse().unwrap_or(0);
+                    if self.mistaken.is_some_and(|k| number.is_multiple_of(k)) {
+                        r.why = Some(Why::Error);
+                        self.fails += 1;
+                        w.next_report = w.next_report.min(now + 0.5);
+                        continue;
+                    }
                     r.why = Some(Why::Done);
                     self.finished.insert(task.clone());
                     w.next_report = w.next_report.min(now + 0.5);
@@ -1306,10 +1368,15 @@
         }
         let slow = self.machines.get(id).is_some_and(|w| self.step < w.slow_until);
         let usual = self.rng.random_range(1.0..5.0);
-        let run = if spec.priority == Priority::Low { 60.0 } else { usual };
+        let run = match spec.priority {
+            Priority::Low => 60.0,
+            _ if self.gaps && task.index > 0 => 8.0 * f64::from(task.index),
+            _ => usual,
+        };
         let run = run * if slow { 6.0 } else { 1.0 };
         let done = self.finished.contains(&task);
         let ends = match spec.kind {
+            _ if self.mistaken(&task.job) => now + 0.5,
             Kind::Service => f64::INFINITY,
             _ if done => now,
             _ => now + run,
