--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -25,6 +25,10 @@
     zone: usize,
 }
 
+/// Price for what is used of it, whether boots are slow there, whose turn it is: the
+/// least is best.
+type RentScore = (f64, (bool, usize));
+
 impl Leader {
     /// Rooms of the machines that are up or on their way.
     fn rooms(&self, now: Secs, without: Option<&MachineId>) -> Vec<Room> {
@@ -446,7 +450,7 @@
         let h = &mut self.hire;
         h.no_capacity.retain(|_, until| now < *until);
         h.next_zone += 1;
-        let mut best: Option<(f64, (bool, usize), (usize, usize), bool)> = None;
+        let mut best: Option<(RentScore, (usize, usize), bool)> = None;
         for (k, t) in h.types.iter().enumerate().filter(|(_, t)| type_allows(spec, t)) {
             let holds = per_machine(spec, t);
             if holds == 0 {
@@ -469,13 +473,13 @@
                     // Zones in turn, but those last where boots are slow.
                     let slow = h.boot(t, zone) > t.boot_s * BOOT_SPREAD;
                     let turn = (slow, (i + h.next_zone) % t.zones.len().max(1));
-                    if best.as_ref().is_none_or(|b| (price, turn) < (b.0, b.1)) {
-                        best = Some((price, turn, (k, i), spot));
+                    if best.as_ref().is_none_or(|b| (price, turn) < b.0) {
+                        best = Some(((price, turn), (k, i), spot));
                     }
                 }
             }
         }
-        let (_, _, (kind, zone), spot) = best?;
+        let (_, (kind, zone), spot) = best?;
         let t = h.types.get(kind)?;
         let free = [t.cpus, t.gpus, t.memory_gb];
         let room = Room { at: now + h.boot(t, t.zones.get(zone)?), free, spot, kind, zone };
