--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -343,8 +343,9 @@
         if self.recovering || now < self.hire.next_gather {
             return;
         }
-        // Not while idle work waits either: it fills what replicas leave.
-        let waiting = self.jobs.values().any(|j| j.waiting() > 0);
+        // Not while idle work waits either: it fills what replicas leave. Mistaken jobs
+        // wait for as long as their users do, and held up all gathering.
+        let waiting = self.jobs.values().any(|j| j.waiting() > 0 && !j.mistaken());
         let Some(id) = (!waiting).then(|| self.least_used(now)).flatten() else { return };
         if !self.fits_elsewhere(now, &id) || !self.warm_without(now, &id) {
             return;
