--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/give_back.rs
@@ -162,7 +162,7 @@
                 && m.tasks.iter().all(|t| {
                     self.jobs.get(&t.job).is_some_and(|j| {
                         let known = j.live.get(&t.index).is_some_and(|l| !l.doubt);
-                        j.cheap_only(now) && known
+                        j.cheap_only(now) && known && !j.keeps(now)
                     })
                 });
             if only_spare && m.spare_since.is_none() {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -114,6 +114,8 @@
     pub cancelled: bool,
     /// Its last transaction is under way.
     pub closing: bool,
+    /// Some task of it ran for longer than a start must to count.
+    pub rooted: bool,
     /// An aim says by when jobs of its class should be done.
     pub aimed: bool,
     /// Within how many seconds, if an aim says so whatever their deadlines.
@@ -168,6 +170,7 @@
             queue,
             cancelled: false,
             closing: false,
+            rooted: false,
             aimed: false,
             finish_s: None,
             whole_gang: false,
@@ -278,10 +281,22 @@
         self.successes > 0 || !self.finished.is_empty()
     }
 
+    /// Whether this attempt is to be left alone, whatever it loses: of idle work of
+    /// which nothing ever ran for long, one attempt is, or in a full fleet each
+    /// would be stopped as the youngest, and its users would never see it begin.
+    pub fn keeps(&self, now: Secs) -> bool {
+        self.spare()
+            && !self.rooted
+            && self.finished.is_empty()
+            && self.live.values().filter(|l| l.stop.is_none()).count() <= 1
+            && now - self.arrived < SPARE_LATEST_S
+    }
+
     /// A task of it has run for so long. A service never completes, but one that
     /// serves is sound: two machines that failed under it in its life once would
     /// have kept its lost replicas away while the others served.
     pub fn ran_for(&mut self, run: Secs) {
+        self.rooted |= run > GATHER_AGE_S;
         if self.spec().kind == Kind::Service && run > SERVES_S {
             self.successes = self.successes.max(1);
             self.failed_on.clear();
@@ -532,6 +547,24 @@
         assert!(j.sound() && j.unexplained().is_empty());
     }
 
+    /// In a full fleet the youngest is stopped first: the first task of idle work
+    /// is left alone until it ran for as long as a start must to count.
+    #[test]
+    fn idle_work_keeps_its_first_task() {
+        let mut j = job(40);
+        Arc::make_mut(&mut j.record).spec.priority = Priority::Low;
+        place(&mut j, 0, "a", 0.0);
+        assert!(j.keeps(5.0));
+        place(&mut j, 1, "b", 6.0);
+        assert!(!j.keeps(7.0), "one of the two may go");
+        j.over(1, Outcome::Lost, 8.0);
+        assert!(j.keeps(9.0));
+        j.ran_for(GATHER_AGE_S + 1.0);
+        assert!(!j.keeps(40.0));
+        j.aimed = true;
+        assert!(!j.spare());
+    }
+
     /// One slow pilot sinks a job only until other tasks are done.
     #[test]
     fn a_slow_pilot_is_outvoted() {
--- a/crates/core/src/preempt.rs
+++ b/crates/core/src/preempt.rs
@@ -133,7 +133,8 @@
                                 && l.ran_from.is_none_or(|f| pass.now - f < GUARANTEE_LOSS_S)
                         }
                     };
-                    let stoppable = below && s.kind == Kind::Array && stoppable(l, pass);
+                    let stoppable =
+                        below && s.kind == Kind::Array && stoppable(l, pass) && !j.keeps(pass.now);
                     let lost = j.loses(l, pass.now);
                     stoppable.then(|| (lost, task.clone(), [s.cpus, s.gpus, s.memory_gb]))
                 })
