--- a/crates/core/tests/cluster.rs
+++ b/crates/core/tests/cluster.rs
@@ -482,6 +482,39 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 6,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..ProptestConfig::default()
+    })]
+
+    /// A guest's idle job of any size, the protocol's largest included, begins within
+    /// four minutes and holds up nobody, across a change of leader too.
+    #[test]
+    fn a_guest_of_any_size_holds_up_nobody(
+        seed in any::<u64>(),
+        number in 2u32..8,
+        tasks in prop_oneof![1u32..4, 4u32..400, Just(100_000u32)],
+        crash in 200u32..500,
+    ) {
+        let mut world = World::new(seed, vec![(crash, at_leader(Trouble::Crash(0, 40)))]);
+        // Numbers that divide by five are cancelled by their users.
+        let number = if number == 5 { 6 } else { number };
+        (world.idle, world.no_services) = (Some((number, tasks)), true);
+        (world.size, world.pace) = ((12, 100.0), (25, 700));
+        world.run(1_600);
+        let guest = format!("req-{number:06}");
+        let others: Vec<&String> =
+            world.broken.iter().filter(|b| !b.starts_with(&guest)).collect();
+        prop_assert!(others.is_empty(), "{:?}", others);
+        let begun = world.begun.get(&JobId::new(&guest)).copied();
+        prop_assert!(begun.is_some_and(|at| at < number * 25 + 2_400), "{:?}", begun);
+    }
+}
+
 /// Every other job fails on every machine until its user cancels it. No sound machine
 /// is taken for faulty, nothing grows, and all other work is done in its time.
 #[test]
