Rent for arrays bound to a zone though machines idle elsewhere

Cause: renting lays waiting array tasks onto CPUs as they come free, and took all CPUs for alike. A job bound to a zone (or a type, or to ordinary machines) without a machine there was laid onto an idle machine of another zone, so nothing was rented and it waited for ever.

Ruled out: placement, which knows zones; capacity (the stand-in had room); the plan of services and gangs, which looks at rooms.

Now CPUs come free by place (type, zone, kind) as soon as a job waits that can't use every machine; without such a job nothing changes.

--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -25,6 +25,41 @@
     zone: usize,
 }
 
+/// Where a machine is: its type and zone, by their places in the lists, and whether it
+/// is a spot machine.
+type Place = (usize, usize, bool);
+
+/// When CPUs come free, one entry each, by place; without one where all are alike.
+///
+/// (They once were alike for all jobs: one bound to a zone without machines was laid
+/// onto an idle machine of another, and waited for ever.)
+#[derive(Default)]
+struct Cpus {
+    free: BTreeMap<Option<Place>, BinaryHeap<Reverse<u64>>>,
+    all: u32,
+}
+
+impl Cpus {
+    fn add(&mut self, place: Option<Place>, count: u32, at: u64) {
+        self.all += count;
+        self.free.entry(place).or_default().extend((0..count).map(|_| Reverse(at)));
+    }
+
+    /// Takes those that come free first, as many as there are.
+    fn take(&mut self, count: u32, allowed: impl Fn(&Place) -> bool) -> Vec<(Option<Place>, u64)> {
+        let mut taken = Vec::new();
+        for _ in 0..count {
+            let open = self.free.iter_mut().filter(|(p, _)| p.as_ref().is_none_or(&allowed));
+            let first = open.filter(|(_, heap)| !heap.is_empty());
+            let first = first.min_by_key(|(_, heap)| heap.peek().map(|Reverse(at)| *at));
+            let Some((place, heap)) = first else { break };
+            taken.extend(heap.pop().map(|Reverse(at)| (*place, at)));
+            self.all -= 1;
+        }
+        taken
+    }
+}
+
 /// Price for what is used of it, whether boots are slow there, whose turn it is: the
 /// least is best.
 type RentScore = (f64, (bool, usize));
@@ -326,13 +361,17 @@
     ) -> (Vec<(JobSpec, u32)>, f64) {
         let lag = self.start_lag;
         let ms = |at: Secs| (at.max(now) * 1e3) as u64;
-        // One entry a CPU: when it is free.
-        let mut cpus: BinaryHeap<Reverse<u64>> = BinaryHeap::new();
+        let array = |j: &&Job| j.spec().kind == Kind::Array;
+        let waits = |j: &&Job| j.waiting() > 0 && !j.mistaken() && !j.spare();
+        // One heap serves all, unless some wait that can't use every machine.
+        let apart = self.jobs.values().filter(array).filter(waits).any(|j| j.spec().bound());
+        let mut cpus = Cpus::default();
         for room in rooms {
-            cpus.extend((0..room.free[0].max(0.0) as u32).map(|_| Reverse(ms(room.at))));
+            let place = apart.then_some((room.kind, room.zone, room.spot));
+            cpus.add(place, room.free[0].max(0.0) as u32, ms(room.at));
         }
         let mut waiting = Vec::new();
-        for job in self.jobs.values().filter(|j| j.spec().kind == Kind::Array) {
+        for job in self.jobs.values().filter(array) {
             let run = job.likely_run();
             let width = job.spec().cpus.ceil().max(1.0) as u32;
             for live in job.live.values() {
@@ -348,9 +387,12 @@
                     Some(from) => (from + run).max(now + run * OVERDUE_SHARE),
                     None => live.since.max(now - lag) + lag + run,
                 };
-                cpus.extend((0..width).map(|_| Reverse(ms(ends))));
+                let place = if apart { self.place_of(&live.machine) } else { None };
+                if place.is_some() || !apart {
+                    cpus.add(place, width, ms(ends));
+                }
             }
-            if job.waiting() > 0 && !job.mistaken() && !job.spare() {
+            if waits(&job) {
                 waiting.push((job.due(), job, run, width));
             }
         }
@@ -368,30 +410,33 @@
             h.types.iter().filter(had).map(|t| h.boot_anywhere(t)).fold(f64::INFINITY, f64::min);
         let mut late = Vec::new();
         // Those beyond need no laying out: they wait longer than a boot anyway.
-        let most = LAID_OUT_MIN.max((cpus.len() as f64 * LAID_OUT_SHARE) as u32);
+        let most = LAID_OUT_MIN.max((f64::from(cpus.all) * LAID_OUT_SHARE) as u32);
         let mut laid_out = 0;
         let mut laid_cpus = 0.0;
         for (due, job, run, width) in waiting {
             let spec = job.spec();
             let mut count = 0;
             let unhurried = job.unhurried(now);
+            let need = Need::of(spec, &self.hire.types);
+            let allowed = |place: &Place| need.allows(*place);
             for _ in 0..job.waiting() {
                 if laid_out >= most || !book(spec) {
                     break;
                 }
                 laid_out += 1;
                 laid_cpus += if unhurried { 0.0 } else { spec.cpus };
-                let taken: Vec<u64> =
-                    (0..width).filter_map(|_| cpus.pop().map(|Reverse(at)| at)).collect();
+                let taken = cpus.take(width, allowed);
                 let whole = taken.len() == width as usize;
-                let start = taken.iter().max().map_or(f64::INFINITY, |at| *at as f64 / 1e3);
+                let last = taken.iter().map(|(_, at)| *at).max();
+                let start = last.map_or(f64::INFINITY, |at| at as f64 / 1e3);
                 let start = if whole { start } else { f64::INFINITY };
                 if start + lag + run * RENT_SPREAD > due && start > now + boot {
                     // A machine rented now would start it sooner.
                     count += 1;
-                    cpus.extend(taken.into_iter().map(Reverse));
+                    taken.into_iter().for_each(|(place, at)| cpus.add(place, 1, at));
                 } else {
-                    cpus.extend((0..width).map(|_| Reverse(ms(start + lag + run))));
+                    let free = ms(start + lag + run);
+                    taken.into_iter().for_each(|(place, _)| cpus.add(place, 1, free));
                 }
             }
             late.push((spec.clone(), count));
@@ -399,6 +444,14 @@
         (late, laid_cpus)
     }
 
+    fn place_of(&self, machine: &MachineId) -> Option<Place> {
+        let info = &self.machines.get(machine)?.info;
+        let types = &self.hire.types;
+        let kind = types.iter().position(|t| t.name == info.kind)?;
+        let zone = types[kind].zones.iter().position(|z| *z == info.zone)?;
+        Some((kind, zone, info.spot))
+    }
+
     fn send_rent(&mut self, kind: String, zone: String, spot: bool, count: u32, out: &mut Out) {
         if !self.hire.afford() {
             return;
@@ -522,10 +575,14 @@
 
     fn fits(&self, room: &Room) -> bool {
         (0..3).all(|i| room.free[i] + 1e-9 >= self.amounts[i])
-            && (self.spot || !room.spot)
-            && self.kinds.get(room.kind).is_some_and(|k| match k {
+            && self.allows((room.kind, room.zone, room.spot))
+    }
+
+    fn allows(&self, (kind, zone, spot): Place) -> bool {
+        (self.spot || !spot)
+            && self.kinds.get(kind).is_some_and(|k| match k {
                 None => false,
-                Some(zone) => zone.is_none_or(|z| z == room.zone),
+                Some(only) => only.is_none_or(|z| z == zone),
             })
     }
 
@@ -591,6 +648,7 @@
             finishes: Vec::new(),
             report_s: 6.0,
             lease_s: 31.0,
+            cancel_s: 56.0,
             store_rps: 300.0,
             store_write_rps: 90.0,
             store_txn_ops: 24,
--- a/crates/proto/src/job.rs
+++ b/crates/proto/src/job.rs
@@ -147,6 +147,11 @@
 }
 
 impl JobSpec {
+    /// Whether some machines are not allowed for it, however much room they have.
+    pub fn bound(&self) -> bool {
+        self.zone.is_some() || self.types.is_some() || !self.spot
+    }
+
     /// Checks a submission's body.
     pub fn parse(body: &[u8]) -> Result<Self, BadJob> {
         let value: Value = cbor::decode(body).map_err(|_| BadJob::NotAMap)?;
