--- a/crates/core/tests/cluster/world.rs
+++ b/crates/core/tests/cluster/world.rs
@@ -221,6 +221,14 @@
     pub cancelled: Vec<(u32, usize)>,
     /// Of those, with a task on a machine that was cut off or hung.
     pub cancelled_apart: u32,
+    /// Transactions without an answer that take effect seconds later.
+    pub late_writes: u32,
+    /// Copies of reports that came again.
+    pub copies: u32,
+    /// Orders held back by a cut, a hang or deafness, and executed after it.
+    pub held_orders: u32,
+    /// Answers to reports that a machine out of reach never got.
+    pub unheard: u32,
     /// Transactions carried out whose answer was lost.
     pub answers_lost: u32,
     /// Old reports that reached a controller as another began to lead.
@@ -1024,6 +1032,7 @@
                         && matches!(req, StoreRequest::Commit(_))
                         && self.rng.random_range(0..3) == 0;
                     self.met.answers_lost += u32::from(mute);
+                    self.met.late_writes += u32::from(late);
                     let answer = !late && !mute && self.rng.random_range(0..40) != 0;
                     let slow = self.step < self.store_slow_until;
                     let most = if answer { if slow { 20 } else { 1 } } else { 60 };
@@ -1250,6 +1259,7 @@
                         .get(&machine)
                         .map_or(0, |w| w.cut_until.max(w.deaf_until).max(w.hung_until));
                     if held > self.step {
+                        self.met.held_orders += 1;
                         if answer {
                             // The link gives up waiting.
                             let event = Event::Direct(op, DirectResult::Unknown);
@@ -1571,6 +1581,7 @@
                         let (node, report, sent) =
                             ((node + self.step as usize) % NODES, report.clone(), *sent);
                         let delay = self.rng.random_range(1..self.copies.1.max(2));
+                        self.met.copies += 1;
                         self.late.push((self.step + delay, Late::Report { node, report, sent }));
                     }
                     if cut > self.step {
@@ -1603,6 +1614,8 @@
     fn report_answered(&mut self, id: &MachineId, session: u64, sent: f64, answer: Answer) {
         let now = self.now();
         let Some(w) = self.machines.get_mut(id) else { return };
+        let apart = self.step < w.cut_until.max(w.deaf_until).max(w.hung_until);
+        self.met.unheard += u32::from(apart);
         if w.dead
             || w.waiting != Some(sent)
             || w.session != session
--- a/tests/binary.rs
+++ b/tests/binary.rs
@@ -53,6 +53,41 @@
     assert_eq!(cluster.broken(), Vec::<String>::new());
 }
 
+/// More connections than the controller has sockets (500), idle, stuck in a head or in a
+/// body, and bodies over the limit: memory and threads stay far below what the settings
+/// allow (100 MB; a quarter of the sockets and a dozen), and jobs are accepted and done.
+#[test]
+fn hostile_connections_cost_bounded_memory_and_threads() {
+    use std::io::Write as _;
+    let cluster = Cluster::start(1);
+    cluster.submit("req-000011", "sweep", 2);
+    let mut held = Vec::new();
+    let mut large = 0;
+    for n in 0..700 {
+        let Some(mut stream) = cluster.connect(0) else { continue };
+        let begun = match n % 4 {
+            0 => Vec::new(),
+            1 => b"POST /hello HTTP/1.1\r\nContent-Le".to_vec(),
+            2 => b"POST /api/jobs HTTP/1.1\r\nContent-Length: 60000\r\n\r\n".to_vec(),
+            _ => b"POST /hello HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n".to_vec(),
+        };
+        let body = if n % 4 > 1 { vec![0u8; 50_000] } else { Vec::new() };
+        // It may be closed or left waiting in the meantime: that is the controller's right.
+        let sent = stream.write_all(&begun).and_then(|()| stream.write_all(&body));
+        large += usize::from(sent.is_ok() && !body.is_empty());
+        held.push(stream);
+    }
+    assert!(held.len() > 500 && large > 50, "{} connections, {large} bodies", held.len());
+    cluster.submit("req-000021", "sweep", 2);
+    let (peak_kb, threads) = cluster.peak_kb_and_threads(0);
+    assert!(peak_kb < 64 * 1024, "{peak_kb} KB");
+    assert!(threads < 500 / 4 + 24, "{threads} threads");
+    drop(held);
+    cluster.until("req-000011", "done");
+    cluster.until("req-000021", "done");
+    assert_eq!(cluster.broken(), Vec::<String>::new());
+}
+
 #[test]
 fn bad_settings_stop_the_start_with_one_line() {
     let dir = std::env::temp_dir().join(format!("marblebarrow-{}", std::process::id()));
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -652,6 +652,25 @@
         }
     }
 
+    /// A connection to a controller, with nothing asked yet.
+    pub fn connect(&self, i: usize) -> Option<TcpStream> {
+        let stream = TcpStream::connect(&self.nodes[i]).ok()?;
+        stream.set_write_timeout(Some(Duration::from_millis(200))).ok()?;
+        Some(stream)
+    }
+
+    /// What the system says of a controller's process: peak of its memory in KB, and
+    /// threads now.
+    pub fn peak_kb_and_threads(&self, i: usize) -> (u64, u64) {
+        let pid = self.children[i].as_ref().expect("lives").id();
+        let text = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("status");
+        let field = |name: &str| {
+            let line = text.lines().find_map(|l| l.strip_prefix(name)).expect("field");
+            line.split_whitespace().next().and_then(|n| n.parse().ok()).expect("number")
+        };
+        (field("VmHWM:"), field("Threads:"))
+    }
+
     /// Rules that were broken.
     pub fn broken(&self) -> Vec<String> {
         self.fleet.broken.lock().expect("broken").clone()
