Time watches by the bound on a leader's copy: quiet stores cost no leader its office

No leader stayed long enough to look at machines and tell ends, so jobs were said to be queued though their tasks had run.

Ruled out in the same logs: why=deaf (never logged), late steps, progress (a consequence: nobody led long enough to pass it on). Every change of leader in them is a resignation as out of date.

After a failure the watch asks without blocking, with pauses that double; unreadable answers and a revision that goes back lead to a new read. Both guards are as they were.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -55,6 +55,14 @@
 pub const STALE_SHARE: f64 = 0.4;
 /// ... and no earlier than this before, seconds.
 pub const STALE_MOST_S: f64 = 6.0;
+/// Share of the age at which a leader with an old copy resigns that a watch may block, and
+/// that its answer may be late after that: the copy may get as old as two blocking times
+/// on a quiet store, and as two, a lost answer's wait and a retry when one is lost.
+pub const WATCH_TIMING_SHARE: f64 = 0.2;
+/// Longest that a watch blocks, seconds: so short that one held by a cut is soon given up.
+pub const WATCH_BLOCK_MOST_S: f64 = 2.5;
+/// Longest wait for the answer of a watch beyond its blocking, seconds.
+pub const WATCH_SLACK_MOST_S: f64 = 1.5;
 /// How often the leader asks for pledges while the store refuses it, seconds.
 pub const PLEDGE_EVERY_S: f64 = 0.35;
 /// Most that followers wait apart before standing, seconds, so that they
--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -1,9 +1,12 @@
 //! What the settings tell the core.
 
 use crate::consts::{
-    CANCEL_MARGIN_S, DRIFT, IDLE_S, LOOK_S, LOOK_SHARE, PILOT_SHARE, THIN_LIMIT, WARM_FACTOR,
+    CANCEL_MARGIN_S, DRIFT, IDLE_S, LOOK_S, LOOK_SHARE, PILOT_SHARE, STALE_MOST_S, STALE_SHARE,
+    THIN_LIMIT, WARM_FACTOR, WATCH_BLOCK_MOST_S, WATCH_LAG_S, WATCH_SLACK_MOST_S,
+    WATCH_TIMING_SHARE,
 };
 use marblebarrow_proto::ids::NodeId;
+use std::time::Duration;
 
 /// A team's guarantee and limit. Zero means none.
 #[derive(Clone, Debug, PartialEq)]
@@ -65,6 +68,15 @@
     }
 }
 
+/// How a watch of the state service is timed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WatchTiming {
+    /// How long the state service may hold a watch open without news.
+    pub block: Duration,
+    /// How much later than that its answer may arrive before the watch is given up.
+    pub slack: Duration,
+}
+
 /// The settings as the core needs them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Facts {
@@ -130,6 +142,32 @@
         self.cancel_s * (1.0 - DRIFT) - self.lease_s * (1.0 + DRIFT) - CANCEL_MARGIN_S
     }
 
+    /// Age at which the copy of a leader that the store serves no longer allows it to
+    /// act, seconds.
+    pub fn replica_age_limit(&self) -> f64 {
+        self.cancel_room().max(WATCH_LAG_S)
+    }
+
+    /// Age of its copy at which a leader that the store serves resigns, seconds.
+    pub fn replica_age_to_resign(&self) -> f64 {
+        let limit = self.replica_age_limit();
+        limit - (limit * STALE_SHARE).min(STALE_MOST_S)
+    }
+
+    /// How to time watches so that a leader's copy stays younger than
+    /// [`Facts::replica_age_to_resign`], though nothing changes and though one watch is lost.
+    ///
+    /// An answer proves the copy current as of the sending of its request, so on a quiet
+    /// store the copy gets as old as two blocking times. (With a fixed time of 2.5 s, every
+    /// leader resigned after 3 s of quiet where cancellations had only 12 s.)
+    pub fn watch_timing(&self) -> WatchTiming {
+        let share = self.replica_age_to_resign() * WATCH_TIMING_SHARE;
+        WatchTiming {
+            block: Duration::from_secs_f64(share.min(WATCH_BLOCK_MOST_S)),
+            slack: Duration::from_secs_f64(share.min(WATCH_SLACK_MOST_S)),
+        }
+    }
+
     /// The controller that workers try after this one: the next by name.
     pub fn next_in_turn(&self) -> Option<&NodeId> {
         let after = self.others.iter().filter(|o| **o > self.node).min();
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -98,7 +98,7 @@
         }
         let (known_at, room) = (self.known_at(), self.facts.cancel_room());
         // While the store serves us, its word on what is new may take a while.
-        let granted = granted.min(known_at + room.max(WATCH_LAG_S));
+        let granted = granted.min(known_at + self.facts.replica_age_limit());
         Some((term, granted.max(pledged.min(known_at + room))))
     }
 
@@ -114,12 +114,10 @@
     // Serves the store well enough to keep our grant, and yet doesn't tell what is
     // new, and soon we may not act for it: another's watch may fare better.
     fn out_of_date(&self, now: Secs) -> bool {
-        let room = self.facts.cancel_room().max(WATCH_LAG_S);
-        let early = (room * STALE_SHARE).min(STALE_MOST_S);
         self.election.held().is_some()
             && !self.election.touch_failing()
             && !self.facts.others.is_empty()
-            && now > self.known_at() + room - early
+            && now > self.known_at() + self.facts.replica_age_to_resign()
     }
 
     fn store_bad(&self) -> bool {
--- a/crates/core/tests/authority.rs
+++ b/crates/core/tests/authority.rs
@@ -9,21 +9,27 @@
 use marblebarrow_proto::ids::{Attempt, JobId, MachineId, NodeId};
 use marblebarrow_proto::records::{LEADER, LeaderRecord, cancel_key};
 use marblebarrow_proto::wire::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const LEASE_S: f64 = 8.0;
 const CANCEL_S: f64 = 20.0;
 
 fn node(n: usize, others: &[usize]) -> Node {
+    Node::new(facts(n, others, LEASE_S, CANCEL_S), n as u64, 0.0)
+}
+
+fn facts(n: usize, others: &[usize], lease_s: f64, cancel_s: f64) -> Facts {
     let name = |n: &usize| NodeId::new(&format!("c{n}"));
-    let facts = Facts {
+    Facts {
         node: name(&n),
         others: others.iter().map(name).collect(),
         teams: Vec::new(),
         deadlines: Vec::new(),
         finishes: Vec::new(),
         report_s: 1.0,
-        lease_s: LEASE_S,
-        cancel_s: CANCEL_S,
+        lease_s,
+        cancel_s,
         core_share: 1.0,
         log: true,
         store_rps: 100.0,
@@ -33,8 +39,7 @@
         list_lag_s: 2.0,
         direct_most: 40,
         tuning: Tuning::default(),
-    };
-    Node::new(facts, n as u64, 0.0)
+    }
 }
 
 fn watch(sent: Secs, revision: u64, content: WatchContent) -> Event {
@@ -89,7 +94,10 @@
 }
 
 fn elected(told_at: Secs, load: bool) -> Node {
-    let mut node = node(0, &[1, 2]);
+    elect(node(0, &[1, 2]), told_at, load)
+}
+
+fn elect(mut node: Node, told_at: Secs, load: bool) -> Node {
     node.handle(0.0, 0, watch(0.0, 1, WatchContent::Reset(Vec::new())));
     let mut now = 0.0;
     while now < told_at {
@@ -296,3 +304,66 @@
     }
     assert!(now > prompt_from + 1.0, "resigns after {}", now - prompt_from);
 }
+
+/// How a watch ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum WatchEnd {
+    /// Without news, when its time is over.
+    Quiet,
+    /// Without news, so long before its time is over.
+    Early(f64),
+    /// Its answer never comes.
+    Lost,
+}
+
+fn watch_end() -> impl Strategy<Value = WatchEnd> {
+    prop_oneof![
+        6 => Just(WatchEnd::Quiet),
+        1 => (0.0..0.5f64).prop_map(WatchEnd::Early),
+        1 => Just(WatchEnd::Lost),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, rng_seed: RngSeed::Fixed(20), ..ProptestConfig::default() })]
+
+    /// A store on which nothing changes for minutes costs no leader its office, whatever
+    /// the time for cancellations, though the store answers slowly and now and then a watch
+    /// is lost (not twice in a row). Leaders once resigned after 3 s of quiet where
+    /// cancellations have 12 s, one after the other, and no job's end was ever told.
+    #[test]
+    fn a_quiet_store_costs_no_leader_its_office(
+        lease_s in 1.0..30.0f64,
+        cancel_s in 1.0..90.0f64,
+        ends in proptest::collection::vec(watch_end(), 64),
+        latency in 0.0..0.2f64,
+    ) {
+        const RETRY_S: f64 = 0.15;
+        let facts = facts(0, &[1, 2], lease_s, cancel_s);
+        let timing = facts.watch_timing();
+        let (block, slack) = (timing.block.as_secs_f64(), timing.slack.as_secs_f64());
+        let mut node = elect(Node::new(facts, 0, 0.0), 10.0, true);
+        let mut now = 10.0;
+        let mut after_loss = false;
+        for end in ends {
+            let sent = now;
+            let block = if after_loss { 0.0 } else { block };
+            let (wait, answered) = match end {
+                WatchEnd::Lost if !after_loss => (block + slack + RETRY_S, false),
+                WatchEnd::Early(share) => (block * share + latency, true),
+                _ => (block + latency, true),
+            };
+            after_loss = !answered;
+            while now < sent + wait {
+                now += 0.05;
+                node.tick(now, 0);
+                serve(&mut node, now, true);
+                prop_assert!(node.may_act(now), "at {now}, watch sent at {sent}: {end:?}");
+            }
+            if answered {
+                node.handle(now, 0, watch(sent, 5, WatchContent::Events(Vec::new())));
+            }
+        }
+        prop_assert!(now > 15.0);
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -381,6 +381,8 @@
     NotSent,
     /// It may have arrived, or may yet.
     Unknown,
+    /// It arrived, but its answer is malformed or too long: what became of it isn't known.
+    Unreadable,
 }
 
 /// A client that keeps one connection to one address.
@@ -432,8 +434,11 @@
         );
         out.extend_from_slice(body);
         conn.stream.write_all(&out).map_err(|_| CallError::Unknown)?;
-        let (status, body, close) =
-            conn.read_response(Instant::now() + timeout).map_err(|_| CallError::Unknown)?;
+        let answer = conn.read_response(Instant::now() + timeout);
+        let (status, body, close) = answer.map_err(|e| match e {
+            ReadError::Malformed | ReadError::TooLarge => CallError::Unreadable,
+            _ => CallError::Unknown,
+        })?;
         if !close {
             self.conn = Some((conn, Instant::now()));
         }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -115,16 +115,17 @@
 pub const STORE_TIME: Duration = Duration::from_millis(1_200);
 /// Answer to a touch: less, so that there is time for another.
 pub const TOUCH_TIME: Duration = Duration::from_millis(800);
-/// How long a watch blocks, milliseconds; so short that a watch held by a cut
-/// is soon given up.
-pub const WATCH_MS: u64 = 2_500;
-/// Answer of a watch, beyond its blocking.
-pub const WATCH_SLACK: Duration = Duration::from_millis(1_500);
 /// Pause between two watches: changes that come together are taken together,
 /// and each opened watch counts as a request of the state service.
 pub const WATCH_PAUSE: Duration = Duration::from_millis(20);
-/// Wait before a failed watch is tried again.
-pub const WATCH_RETRY: Duration = Duration::from_millis(300);
+/// Wait before a failed watch is tried again for the first time: short, since a leader's
+/// copy grows old meanwhile.
+pub const WATCH_RETRY_FIRST: Duration = Duration::from_millis(150);
+/// The wait doubles with each failure in a row, up to this.
+pub const WATCH_RETRY_MOST: Duration = Duration::from_millis(600);
+/// After so many unreadable answers in a row all watched keys are read anew: what can't be
+/// read may be one change, or more of them than an answer may hold.
+pub const WATCH_UNREADABLE_MOST: u32 = 3;
 /// Answer of the cloud.
 pub const CLOUD_TIME: Duration = Duration::from_secs(3);
 /// Answer of a worker to direct commands.
--- a/src/links.rs
+++ b/src/links.rs
@@ -8,10 +8,11 @@
 use crate::owner::{Clock, Inbox};
 use crate::peers::Peers;
 use crate::pool::Pool;
+use crate::watch::Watch;
 use marblebarrow_core::consts::PAGE_LIMIT;
 use marblebarrow_core::event::*;
+use marblebarrow_core::facts::WatchTiming;
 use marblebarrow_proto::cbor;
-use marblebarrow_proto::records::WATCHED;
 use marblebarrow_proto::wire::*;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -50,7 +51,12 @@
 
 impl StoreLink {
     /// Starts its threads, the watch included.
-    pub fn start(addr: SocketAddr, inbox: &Inbox, clock: Clock) -> std::io::Result<Self> {
+    pub fn start(
+        addr: SocketAddr,
+        inbox: &Inbox,
+        clock: Clock,
+        watch_timing: WatchTiming,
+    ) -> std::io::Result<Self> {
         let (normal, rx) = sync_channel(STORE_QUEUE);
         let queue = Arc::new(Mutex::new(rx));
         for _ in 0..STORE_THREADS {
@@ -63,8 +69,8 @@
         let queue = Arc::new(Mutex::new(rx));
         let inbox2 = inbox.clone();
         spawn("touch", move || store_thread(addr, &queue, |e| inbox2.tell_urgently(e)))?;
-        let inbox2 = inbox.clone();
-        spawn("watch", move || watch_thread(addr, &inbox2, clock))?;
+        let watch = Watch::new(addr, inbox.clone(), clock, watch_timing);
+        spawn("watch", move || watch.run())?;
         Ok(Self { normal, urgent })
     }
 
@@ -86,7 +92,8 @@
     }
 }
 
-fn store_call(client: &mut Client, req: &StoreRequest) -> StoreResult {
+/// Makes a request of the state service and reads its answer.
+pub fn store_call(client: &mut Client, req: &StoreRequest) -> StoreResult {
     let answer = match req {
         StoreRequest::Commit(txn) => client.call("POST", "/commit", &cbor::encode(txn), STORE_TIME),
         StoreRequest::Get(key) => client.call("GET", &format!("/store/{key}"), &[], STORE_TIME),
@@ -111,7 +118,7 @@
     let (status, body) = match answer {
         Ok(a) => a,
         Err(CallError::NotSent) => return StoreResult::Refused,
-        Err(CallError::Unknown) => return StoreResult::Unknown,
+        Err(CallError::Unknown | CallError::Unreadable) => return StoreResult::Unknown,
     };
     match (req, status) {
         (_, 429 | 503) => StoreResult::Refused,
@@ -135,70 +142,6 @@
     }
 }
 
-fn watch_thread(addr: SocketAddr, inbox: &Inbox, clock: Clock) {
-    let mut client = Client::new(addr);
-    let mut at: Option<u64> = None;
-    loop {
-        let done = match at {
-            None => read_all(&mut client, inbox, clock),
-            Some(after) => watch_once(&mut client, inbox, clock, after),
-        };
-        match done {
-            Ok(next) => at = next,
-            Err(()) => thread::sleep(WATCH_RETRY),
-        }
-    }
-}
-
-fn read_all(client: &mut Client, inbox: &Inbox, clock: Clock) -> Result<Option<u64>, ()> {
-    let mut items = Vec::new();
-    let mut after = String::new();
-    let mut first = None;
-    let sent = clock.now();
-    loop {
-        let req = StoreRequest::Range { prefix: WATCHED.into(), after };
-        let StoreResult::Page(page) = store_call(client, &req) else {
-            return Err(());
-        };
-        // Changes made while the pages are read come with the watch.
-        let revision = *first.get_or_insert(page.revision);
-        after = page.items.last().map_or_else(String::new, |i| i.key.clone());
-        items.extend(page.items);
-        if !page.more {
-            let content = WatchContent::Reset(items);
-            inbox.tell(Event::Watch(WatchNews { sent, revision, content }));
-            return Ok(first);
-        }
-    }
-}
-
-fn watch_once(
-    client: &mut Client,
-    inbox: &Inbox,
-    clock: Clock,
-    after: u64,
-) -> Result<Option<u64>, ()> {
-    let path = format!("/watch?under={WATCHED}&after={after}&block_ms={WATCH_MS}");
-    let wait = std::time::Duration::from_millis(WATCH_MS) + WATCH_SLACK;
-    let sent = clock.now();
-    match client.call("GET", &path, &[], wait) {
-        Ok((200, body)) => {
-            let answer: WatchAnswer = cbor::decode(&body).map_err(|_| ())?;
-            let revision = answer.revision.max(after);
-            let some = !answer.events.is_empty();
-            // That there is nothing new is news too.
-            let content = WatchContent::Events(answer.events);
-            inbox.tell(Event::Watch(WatchNews { sent, revision, content }));
-            if some {
-                thread::sleep(WATCH_PAUSE);
-            }
-            Ok(Some(revision))
-        }
-        Ok((410, _)) => Ok(None),
-        _ => Err(()),
-    }
-}
-
 /// The link to the cloud.
 pub struct CloudLink {
     tx: SyncSender<CloudJob>,
@@ -260,7 +203,7 @@
     let (status, body) = match answer {
         Ok(a) => a,
         Err(CallError::NotSent) => return CloudResult::Refused,
-        Err(CallError::Unknown) => return CloudResult::Unknown,
+        Err(CallError::Unknown | CallError::Unreadable) => return CloudResult::Unknown,
     };
     match (req, status) {
         (CloudRequest::Types, 200) => cbor::decode::<TypeList>(&body)
@@ -341,7 +284,7 @@
             Err(_) => DirectResult::Unknown,
         },
         Ok((400, _)) => DirectResult::NotSent,
-        Ok(_) | Err(CallError::Unknown) => DirectResult::Unknown,
+        Ok(_) | Err(CallError::Unknown | CallError::Unreadable) => DirectResult::Unknown,
         Err(CallError::NotSent) => DirectResult::NotSent,
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
 mod pool;
 mod server;
 mod settings;
+mod watch;
 
 use clap::Parser as _;
 use limits::*;
@@ -35,8 +36,9 @@
     settings.facts.direct_most = room.direct_threads;
     settings.facts.log = tracing::enabled!(tracing::Level::DEBUG);
     let idle = IDLE_TIME.max(Duration::from_secs_f64(settings.facts.report_s * IDLE_REPORTS));
+    let watch_timing = settings.facts.watch_timing();
     let links = links::Links {
-        store: links::StoreLink::start(settings.state, &inbox, clock)?,
+        store: links::StoreLink::start(settings.state, &inbox, clock, watch_timing)?,
         cloud: links::CloudLink::start(settings.cloud, &inbox, &authority)?,
         direct: links::DirectLink::new(&inbox, &authority, room.direct_threads),
         peers: peers::Peers::start(
