Test real processes on a quiet store and with damaged answers; measure what a controller costs

The stand-ins of the binary tests are split by what they stand in for (store, cloud, workers, HTTP, inputs, cluster). They know machines that end, machines that are returned, workers' kept connections, partly filled rentals and damaged answers of the store.

--- a/tests/binary.rs
+++ b/tests/binary.rs
@@ -5,7 +5,7 @@
 mod stand_in;
 
 use marblebarrow_proto::cbor;
-use stand_in::{Cluster, job_body};
+use stand_in::{Cluster, Plan, WorkerTimes, job_body};
 use std::process::Command;
 
 #[test]
@@ -33,6 +33,52 @@
     assert_eq!(cluster.broken(), Vec::<String>::new());
 }
 
+/// Little time for cancellations, so that a leader's copy of the store must be proved
+/// current every few seconds, and a store on which nothing happens: the leader stays. Then
+/// a machine ends with work on it, the leader is killed, and the machines are returned.
+/// (Leaders once resigned every three seconds, and nobody was told that jobs were done.)
+#[test]
+fn quiet_watches_cost_no_leader_its_office() {
+    const QUIET_WATCHES: u64 = 45;
+    let times = WorkerTimes { lease_s: 6.0, cancel_s: 12.0 };
+    let mut cluster = Cluster::start_with(Plan { times, ..Plan::small(3) });
+    cluster.submit("req-000005", "sweep", 2);
+    cluster.until("req-000005", "running");
+    cluster.until("req-000005", "done");
+    // One change is let pass, lest a machine that stands still decide the verdict.
+    let (terms, watches) = (cluster.terms(), cluster.quiet_watches());
+    cluster.wait_for("watches end", |c| c.quiet_watches() >= watches + QUIET_WATCHES);
+    assert!(cluster.terms() <= terms + 1, "{} leaders, then {}", terms, cluster.terms());
+
+    cluster.submit("req-000015", "sweep", 4);
+    cluster.end_holder("req-000015");
+    cluster.until("req-000015", "done");
+    cluster.submit("req-000025", "sweep", 2);
+    cluster.until("req-000025", "running");
+    cluster.kill_leader();
+    cluster.until("req-000025", "done");
+    cluster.until("req-000015", "done");
+    cluster.wait_for("all machines are returned", |c| c.rented() == 0);
+    assert_eq!(cluster.broken(), Vec::<String>::new());
+}
+
+/// One answer of the store in five is garbage, cut off, announced far too long, or lost:
+/// jobs are done and cancelled all the same, and what was told stays true.
+#[test]
+fn damaged_answers_of_the_store_harm_nobody() {
+    let cluster = Cluster::start(3);
+    cluster.damage_answers(5);
+    cluster.submit("req-000031", "sweep", 4);
+    cluster.submit("req-000032", "daemon", 2);
+    cluster.until("req-000031", "done");
+    cluster.until("req-000032", "running");
+    assert_eq!(cluster.call("POST", "/api/jobs/req-000032/abort", &[]).0, 200);
+    cluster.until("req-000032", "aborted");
+    cluster.until_gone("req-000032");
+    cluster.until("req-000031", "done");
+    assert_eq!(cluster.broken(), Vec::<String>::new());
+}
+
 #[test]
 fn answers_what_it_cannot_take() {
     let cluster = Cluster::start(1);
@@ -95,6 +141,7 @@
     let file = dir.join("bad.toml");
     let good = stand_in::settings_text(
         0,
+        &Plan::small(1),
         &["127.0.0.1:1".into()],
         &["127.0.0.1:2".into()],
         "127.0.0.1:3",
--- /dev/null
+++ b/tests/stand_in/cluster.rs
@@ -0,0 +1,227 @@
+//! Controllers, as real processes, among the stand-ins, and a client of theirs.
+
+use super::cloud::cloud;
+use super::http::{ask, serve};
+use super::inputs::{Plan, job_body, settings_text, stage};
+use super::store::{SharedStore, store_answer};
+use super::usage::Usage;
+use super::worker::Fleet;
+use marblebarrow_proto::cbor;
+use marblebarrow_proto::records::{LEADER, LeaderRecord, TERM, TermRecord};
+use std::net::{TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Stdio};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Longest that any one thing may take before a test gives up.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Controllers, as real processes, and their surroundings.
+pub struct Cluster {
+    children: Vec<Option<Child>>,
+    nodes: Vec<String>,
+    fleet: Arc<Fleet>,
+    store: SharedStore,
+    dir: PathBuf,
+}
+
+impl Cluster {
+    /// Starts so many controllers.
+    pub fn start(count: usize) -> Self {
+        Self::start_with(Plan::small(count))
+    }
+
+    /// Starts what is planned.
+    pub fn start_with(plan: Plan) -> Self {
+        let count = plan.controllers;
+        // The system's choice of ports: taken, noted, and let go for the children.
+        let free = || {
+            let l = TcpListener::bind("127.0.0.1:0").expect("bind");
+            (l.local_addr().expect("addr").to_string(), l)
+        };
+        let held: Vec<_> = (0..count * 2).map(|_| free()).collect();
+        let addrs: Vec<String> = held.iter().map(|(a, _)| a.clone()).collect();
+        drop(held);
+        let (nodes, peers) = (addrs[..count].to_vec(), addrs[count..].to_vec());
+        let store: SharedStore = Arc::default();
+        let shared = store.clone();
+        let store_addr = serve(move |m, p, b| store_answer(&shared, m, p, b));
+        let fleet = Arc::new(Fleet::default());
+        let cloud_addr = cloud(fleet.clone(), nodes.clone(), plan);
+        let name = format!("marblebarrow-{}-{}", std::process::id(), nodes[0].replace(':', "-"));
+        let dir = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&dir).expect("dir");
+        let children = (0..count)
+            .map(|i| {
+                let file = dir.join(format!("c{i}.toml"));
+                let text = settings_text(i, &plan, &nodes, &peers, &cloud_addr, &store_addr);
+                std::fs::write(&file, text).expect("settings");
+                let child = std::process::Command::new(env!("CARGO_BIN_EXE_marblebarrow"))
+                    .arg("--config")
+                    .arg(&file)
+                    .stderr(Stdio::null())
+                    .spawn()
+                    .expect("start");
+                Some(child)
+            })
+            .collect();
+        Self { children, nodes, fleet, store, dir }
+    }
+
+    /// Asks the controllers that live, in turn, until one answers for good.
+    pub fn call(&self, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            for (i, node) in self.nodes.iter().enumerate() {
+                if self.children[i].is_none() {
+                    continue;
+                }
+                match ask(node, method, path, body, Duration::from_secs(5)) {
+                    Some((429 | 503, _)) | None => {}
+                    Some(answer) => return answer,
+                }
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+        panic!("no answer to {method} {path}");
+    }
+
+    /// Submits until accepted.
+    pub fn submit(&self, id: &str, shape: &str, tasks: u32) {
+        let (status, _) = self.call("POST", "/api/jobs", &job_body(id, shape, tasks));
+        assert!(matches!(status, 200 | 201), "{id}: {status}");
+    }
+
+    /// Waits until every living controller tells that stage.
+    pub fn until(&self, id: &str, wanted: &str) {
+        let end = Instant::now() + PATIENCE;
+        let path = format!("/api/jobs/{id}");
+        let mut last = None;
+        while Instant::now() < end {
+            let all =
+                self.nodes.iter().zip(&self.children).filter(|(_, c)| c.is_some()).all(|(n, _)| {
+                    last = ask(n, "GET", &path, &[], Duration::from_secs(5));
+                    last.as_ref()
+                        .is_some_and(|(s, b)| *s == 200 && stage(b).as_deref() == Some(wanted))
+                });
+            if all {
+                return;
+            }
+            thread::sleep(Duration::from_millis(200));
+        }
+        panic!("{id} never {wanted} everywhere: {last:?}");
+    }
+
+    /// Waits until something holds.
+    pub fn wait_for(&self, what: &str, holds: impl Fn(&Self) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !holds(self) {
+            assert!(Instant::now() < end, "never: {what}");
+            thread::sleep(Duration::from_millis(100));
+        }
+    }
+
+    /// Waits until no worker holds a task of the job.
+    pub fn until_gone(&self, id: &str) {
+        self.wait_for(&format!("{id} is gone"), |cluster| !cluster.fleet.holds(id));
+    }
+
+    /// Who leads, as the store has it.
+    fn leader(&self) -> LeaderRecord {
+        let record = self.store.0.lock().expect("store").value(LEADER);
+        cbor::from_value(&record.expect("a leader")).expect("record")
+    }
+
+    /// How many leaders there have been.
+    pub fn terms(&self) -> u64 {
+        let record = self.store.0.lock().expect("store").value(TERM);
+        let record: TermRecord = cbor::from_value(&record.expect("terms")).expect("record");
+        record.term
+    }
+
+    /// How many watches have ended without news, those of all controllers.
+    pub fn quiet_watches(&self) -> u64 {
+        self.store.0.lock().expect("store").quiet_watches()
+    }
+
+    /// Damages one answer of the store in so many from now on.
+    pub fn damage_answers(&self, every: u64) {
+        self.store.0.lock().expect("store").damage_answers(every);
+    }
+
+    /// Kills the process that leads.
+    pub fn kill_leader(&mut self) {
+        let i: usize = self.leader().node.as_str()[1..].parse().expect("index");
+        if let Some(mut child) = self.children[i].take() {
+            child.kill().expect("kill");
+            child.wait().expect("wait");
+        }
+    }
+
+    /// Ends a machine that holds a task of the job, without notice.
+    pub fn end_holder(&self, job: &str) {
+        self.wait_for(&format!("a task of {job} runs"), |c| c.fleet.holds(job));
+        if let Some(machine) = self.fleet.holder(job) {
+            self.fleet.end(&machine);
+        }
+    }
+
+    /// How many machines are rented.
+    pub fn rented(&self) -> usize {
+        self.fleet.rented()
+    }
+
+    /// A connection to a controller, with nothing asked yet.
+    pub fn connect(&self, i: usize) -> Option<TcpStream> {
+        let stream = TcpStream::connect(&self.nodes[i]).ok()?;
+        stream.set_write_timeout(Some(Duration::from_millis(200))).ok()?;
+        Some(stream)
+    }
+
+    /// What the system says of a controller's process: peak of its memory in KB, and
+    /// threads now.
+    pub fn peak_kb_and_threads(&self, i: usize) -> (u64, u64) {
+        let pid = self.children[i].as_ref().expect("lives").id();
+        let text = std::fs::read_to_string(format!("/proc/{pid}/status")).expect("status");
+        let field = |name: &str| {
+            let line = text.lines().find_map(|l| l.strip_prefix(name)).expect("field");
+            line.split_whitespace().next().and_then(|n| n.parse().ok()).expect("number")
+        };
+        (field("VmHWM:"), field("Threads:"))
+    }
+
+    /// Process ids of the controllers that live.
+    pub fn processes(&self) -> Vec<u32> {
+        self.children.iter().flatten().map(Child::id).collect()
+    }
+
+    /// What each controller that lives has used since it began.
+    pub fn usage(&self) -> Vec<Usage> {
+        let leader = self.leader().node;
+        let named = self.children.iter().enumerate();
+        let living = named.filter_map(|(i, child)| child.as_ref().map(|c| (i, c.id())));
+        living.map(|(i, process)| Usage::of(process, leader.as_str() == format!("c{i}"))).collect()
+    }
+
+    /// How many tasks are on machines.
+    pub fn held(&self) -> usize {
+        self.fleet.held()
+    }
+
+    /// Rules that were broken.
+    pub fn broken(&self) -> Vec<String> {
+        self.fleet.broken()
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for child in self.children.iter_mut().flatten() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
