--- a/crates/core/src/hire.rs
+++ b/crates/core/src/cloud_requests.rs
@@ -3,7 +3,7 @@
 //! what to return in `give_back`.
 
 use crate::consts::*;
-use crate::event::{CloudRequest, CloudResult, OpId, Out, Secs};
+use crate::event::{ActionSink, CloudRequest, CloudResult, OpId, Secs};
 use crate::leader::Leader;
 use crate::replica::Replica;
 use marblebarrow_proto::ids::MachineId;
@@ -41,7 +41,7 @@
 
 /// The fleet's bookkeeping.
 #[derive(Debug)]
-pub(crate) struct Hire {
+pub(crate) struct CloudRequests {
     /// Machine types, current prices.
     pub(crate) types: Vec<MachineType>,
     pub(crate) types_asked: bool,
@@ -75,7 +75,7 @@
     pub(crate) backlog: VecDeque<(Secs, f64)>,
 }
 
-impl Hire {
+impl CloudRequests {
     pub(crate) fn new(now: Secs) -> Self {
         Self {
             types: Vec::new(),
@@ -178,8 +178,8 @@
 }
 
 impl Leader {
-    pub(crate) fn hire_tick(&mut self, now: Secs, replica: &Replica, out: &mut Out) {
-        let h = &mut self.hire;
+    pub(crate) fn cloud_tick(&mut self, now: Secs, replica: &Replica, out: &mut ActionSink) {
+        let h = &mut self.cloud_requests;
         let rate = self.facts.cloud_rps * CLOUD_SHARE;
         h.budget = (h.budget + (now - h.refilled) * rate).min(rate);
         h.refilled = now;
@@ -190,7 +190,7 @@
             self.learn_types();
             self.place_due = true;
         }
-        let h = &mut self.hire;
+        let h = &mut self.cloud_requests;
         if now < h.retry_at {
             return;
         }
@@ -224,17 +224,17 @@
     }
 
     fn log_fleet(&mut self, now: Secs) {
-        if now < self.hire.next_log {
+        if now < self.cloud_requests.next_log {
             return;
         }
-        self.hire.next_log = now + FLEET_LOG_S;
+        self.cloud_requests.next_log = now + FLEET_LOG_S;
         let mut parts = Vec::new();
         for spot in [false, true] {
             let of = || self.machines.values().filter(move |m| m.info.spot == spot);
             let total: f64 = of().map(|m| m.size[0]).sum();
             let used: f64 = of().map(|m| m.used[0]).sum();
             let idle = of().filter(|m| m.tasks.is_empty()).count();
-            let booting = self.hire.booting.values().filter(|b| b.spot == spot).count();
+            let booting = self.cloud_requests.booting.values().filter(|b| b.spot == spot).count();
             let name = if spot { "spot" } else { "ordinary" };
             parts.push(format!(
                 "{name}={} {name}_cpus={total} {name}_used={used:.0} {name}_idle={idle} {name}_booting={booting}",
@@ -246,10 +246,10 @@
     }
 
     pub(crate) fn cloud_answered(&mut self, now: Secs, op: OpId, result: CloudResult) {
-        let Some(pending) = self.hire.pending.remove(&op) else {
+        let Some(pending) = self.cloud_requests.pending.remove(&op) else {
             return;
         };
-        let h = &mut self.hire;
+        let h = &mut self.cloud_requests;
         if matches!(result, CloudResult::Refused | CloudResult::Unknown) {
             h.retry_at = now + CLOUD_RETRY_S;
         }
@@ -285,13 +285,14 @@
                 self.log.push(|| {
                     format!("event=rented request={} count={}", rent.request, names.len())
                 });
-                let h = &mut self.hire;
+                let h = &mut self.cloud_requests;
                 if (names.len() as u32) < rent.count {
                     let key = (rent.kind.clone(), rent.zone.clone(), rent.spot);
                     h.no_capacity.insert(key, now + NO_CAPACITY_S);
                 }
                 for id in names {
-                    if !self.machines.contains_key(&id) && !self.tombs.contains_key(&id) {
+                    if !self.machines.contains_key(&id) && !self.released_machines.contains_key(&id)
+                    {
                         h.booting.insert(
                             id,
                             Booting {
@@ -327,11 +328,11 @@
 
     /// A release was carried out: the machine and all on it are gone.
     fn released(&mut self, now: Secs, id: &MachineId) {
-        self.hire.release.remove(id);
-        self.hire.booting.remove(id);
-        self.tombs.insert(id.clone(), now);
+        self.cloud_requests.release.remove(id);
+        self.cloud_requests.booting.remove(id);
+        self.released_machines.insert(id.clone(), now);
         let life = self.facts.list_lag_s * TOMB_LAGS;
-        self.tombs.retain(|_, at| now - *at < life);
+        self.released_machines.retain(|_, at| now - *at < life);
         self.lose_tasks(id, now);
         if let Some(m) = self.machines.remove(id) {
             for job in self.jobs.values_mut() {
@@ -345,7 +346,7 @@
 
     fn listed(&mut self, now: Secs, list: Vec<ListedMachine>) {
         for l in list {
-            if self.tombs.contains_key(&l.machine) {
+            if self.released_machines.contains_key(&l.machine) {
                 continue;
             }
             let failed = l.state == ListedState::Failed;
@@ -353,11 +354,11 @@
                 if failed {
                     // It stopped by itself; the release proves all on it gone.
                     m.cordoned = true;
-                    self.hire.release.insert(l.machine);
+                    self.cloud_requests.release.insert(l.machine);
                 }
                 continue;
             }
-            let entry = self.hire.booting.entry(l.machine).or_insert_with(|| Booting {
+            let entry = self.cloud_requests.booting.entry(l.machine).or_insert_with(|| Booting {
                 kind: l.kind,
                 zone: l.zone,
                 spot: l.spot,
@@ -372,8 +373,8 @@
         }
     }
 
-    fn send_release(&mut self, out: &mut Out) {
-        let h = &mut self.hire;
+    fn send_release(&mut self, out: &mut ActionSink) {
+        let h = &mut self.cloud_requests;
         if h.releasing || h.release.is_empty() || !h.afford() {
             return;
         }
--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -17,14 +17,14 @@
 pub const DRIFT: f64 = 0.001;
 /// A leader that no worker reports to for this many report intervals, while
 /// several did before, is cut off from them and gives up its office.
-pub const DEAF_REPORTS: f64 = 1.3;
+pub const WORKERS_SILENT_REPORTS: f64 = 1.3;
 /// Added to that, seconds.
-pub const DEAF_MARGIN_S: f64 = 0.6;
+pub const WORKERS_SILENT_MARGIN_S: f64 = 0.6;
 /// A step that comes so much later than it should, seconds, says that this process had
 /// no processor: what it hasn't heard meanwhile says nothing of the others.
 pub const LATE_STEP_S: f64 = 0.25;
 /// Workers that must have been heard for their common silence to say that.
-pub const DEAF_MACHINES: usize = 3;
+pub const WORKERS_SILENT_LEAST: usize = 3;
 /// After giving up its office a controller doesn't stand for this long,
 /// seconds, so that another can.
 pub const RESIGNED_S: f64 = 8.0;
@@ -42,7 +42,7 @@
 pub const PLEDGE_CANCELS: usize = 500;
 /// Cancellations confirmed to users that a controller keeps until its copy of the
 /// store shows them: minutes of them at the store's highest rate, in half a MB.
-pub const TOLD_MAX: usize = 4_096;
+pub const CONFIRMED_CANCELLATIONS_MAX: usize = 4_096;
 /// Taken off the time that cancelled tasks may take, when reckoning how long a
 /// leader may keep leases without news of cancellations, seconds: the answer's way,
 /// and a worker's look at its lease.
@@ -139,11 +139,11 @@
 /// Every so many such rounds all jobs are shown, as a word may have been lost.
 pub const PROGRESS_ALL_EVERY: u32 = 8;
 /// How often controllers beat to each other, seconds.
-pub const BEAT_EVERY_S: f64 = 1.0;
+pub const HEARTBEAT_EVERY_S: f64 = 1.0;
 /// The same while a fresh process waits to learn that no leader is in office.
-pub const BEAT_FIRST_S: f64 = 0.3;
+pub const HEARTBEAT_FIRST_S: f64 = 0.3;
 /// A peer's word on the store is believed for this long, seconds.
-pub const BEAT_FRESH_S: f64 = 2.5;
+pub const HEARTBEAT_FRESH_S: f64 = 2.5;
 
 // --- workers --------------------------------------------------------------
 
@@ -163,16 +163,16 @@
 pub const GONE_MARGIN_S: f64 = 1.0;
 /// A spot machine that a new leader couldn't reach so often, while most others
 /// answered, is returned: it was mostly taken, and its jobs wait for proof.
-pub const HAILS: u32 = 2;
+pub const PROBES: u32 = 2;
 /// Pause between two of these tries, seconds.
-pub const HAIL_AGAIN_S: f64 = 0.8;
+pub const PROBE_AGAIN_S: f64 = 0.8;
 /// A machine that was heard before and is silent for this many report
 /// intervals is asked directly: reports come within a quarter more than one.
 pub const QUIET_REPORTS: f64 = 1.3;
 /// Added to that, seconds.
 pub const QUIET_MARGIN_S: f64 = 0.6;
 /// Direct tries that must fail before a machine that serves is given up early.
-pub const QUIET_HAILS: u32 = 2;
+pub const QUIET_PROBES: u32 = 2;
 /// Within so many report intervals, of which each machine sends one, ...
 pub const HEARING_REPORTS: f64 = 0.6;
 /// ... so large a share of all machines must have been heard for us to be sure
@@ -206,7 +206,7 @@
 /// patience, that our words reach it, gets no new tasks.
 pub const REACH_REPORTS: f64 = 2.0;
 /// After so much of that time it is asked directly.
-pub const HAIL_SHARE: f64 = 0.6;
+pub const PROBE_SHARE: f64 = 0.6;
 /// Commands in one message: an answer stays far below 64 KiB.
 pub const COMMANDS_MAX: usize = 200;
 /// Task failures on a machine, with no success between, after which it gets no
--- a/crates/core/src/give_back.rs
+++ b/crates/core/src/deprovision.rs
@@ -31,11 +31,11 @@
         let lag = self.facts.list_lag_s;
         let mut give_up = Vec::new();
         let mut vanished = Vec::new();
-        for (id, b) in &self.hire.booting {
+        for (id, b) in &self.cloud_requests.booting {
             // Nor before the others there are expected.
-            let t = self.hire.types.iter().find(|t| t.name == b.kind);
+            let t = self.cloud_requests.types.iter().find(|t| t.name == b.kind);
             let boot = t.map_or(0.0, |t| {
-                (t.boot_s * BOOT_GIVE_UP).max(self.hire.boot(t, &b.zone) * BOOT_COUNTED)
+                (t.boot_s * BOOT_GIVE_UP).max(self.cloud_requests.boot(t, &b.zone) * BOOT_COUNTED)
             });
             let age = now - b.since;
             if b.failed || age > boot + lag {
@@ -45,9 +45,9 @@
                 vanished.push(id.clone());
             }
         }
-        self.hire.release.extend(give_up);
+        self.cloud_requests.release.extend(give_up);
         for id in vanished {
-            self.hire.release.insert(id);
+            self.cloud_requests.release.insert(id);
         }
         let gone = self.facts.report_s * GONE_REPORTS + GONE_MARGIN_S;
         let quiet = self.facts.report_s * QUIET_REPORTS + QUIET_MARGIN_S;
@@ -57,8 +57,9 @@
             .values()
             .filter(|m| m.heard.is_some_and(|h| now - h < self.facts.report_s * SILENT_REPORTS));
         let most_heard = lately.count() * 2 > self.machines.len();
-        let heard_lately =
-            now - self.hire.office_at > GONE_AFTER_S && most_heard && self.prompt_for(now, quiet);
+        let heard_lately = now - self.cloud_requests.office_at > GONE_AFTER_S
+            && most_heard
+            && self.prompt_for(now, quiet);
         let prompt_for_gone = self.prompt_for(now, gone);
         // And for an early verdict only if we hear them right now: cut off from
         // the workers, a leader once gave up half the fleet in the seconds before
@@ -71,7 +72,7 @@
             now_heard += u32::from(m.heard.is_some_and(|h| now - h < window));
         }
         let hearing = f64::from(now_heard) > f64::from(all) * HEARING_SHARE;
-        let office_at = self.hire.office_at;
+        let office_at = self.cloud_requests.office_at;
         // Machines and those silent, by zone.
         let mut zones: BTreeMap<String, (u32, u32)> = BTreeMap::new();
         for m in self.machines.values().filter(|m| m.lapsed.is_none()) {
@@ -121,7 +122,7 @@
             let given_up = m.info.spot || !m.confirmed;
             let unreached = m.info.spot
                 && !m.confirmed
-                && m.unreached >= HAILS
+                && m.unreached >= PROBES
                 && most_heard
                 && prompt_for_gone;
             // One that missed a report and two questions is dead, hung or cut: its
@@ -129,14 +130,14 @@
             // as long as it lasts, while a release is proof at once. (Dead machines once kept a tenth of all replicas
             // away for a whole lease.)
             let dead = hearing
-                && m.unreached >= QUIET_HAILS
+                && m.unreached >= QUIET_PROBES
                 && now - m.heard.filter(|_| m.confirmed).unwrap_or(asked_since) > quiet
                 && !cut_off(&m.info.zone);
             let gone = unreached || heard_lately && (silent && given_up && prompt_for_gone || dead);
             if gone && m.lapsed.is_none() && !m.releasing {
                 self.log.push(|| format!("event=silent machine={id} spot={}", m.info.spot));
                 m.releasing = true;
-                self.hire.release.insert(id.clone());
+                self.cloud_requests.release.insert(id.clone());
             }
             let back_by = self.facts.lease_s + LAPSED_KEPT_S;
             // Heard, but nothing reaches it: its lease runs out all the same.
@@ -146,7 +147,7 @@
                 // Silent past its lease. Should it be back by then, it will
                 // have nothing on it that counts.
                 m.cordoned = true;
-                self.hire.release.insert(id.clone());
+                self.cloud_requests.release.insert(id.clone());
             } else if m.errors >= MACHINE_ERRORS || m.slow >= SLOW_SAMPLES {
                 if !m.cordoned {
                     self.log.push(|| {
@@ -157,7 +158,7 @@
             }
             if m.cordoned && m.direct.is_none() && !m.releasing && stuck(m) {
                 m.releasing = true;
-                self.hire.release.insert(id.clone());
+                self.cloud_requests.release.insert(id.clone());
             }
             // Nothing but work for spare capacity on an ordinary machine, which is
             // dearer than that work is worth.
@@ -242,7 +243,7 @@
                 if let Some(m) = self.machines.get_mut(&id) {
                     m.releasing = true;
                 }
-                self.hire.release.insert(id);
+                self.cloud_requests.release.insert(id);
                 continue;
             }
             if !spot && images.iter().any(|i| spare.get(i).is_some_and(|s| s.short())) {
@@ -265,7 +266,7 @@
                 m.cordoned = true;
                 m.releasing = true;
             }
-            self.hire.release.insert(id);
+            self.cloud_requests.release.insert(id);
         }
     }
 
@@ -345,7 +346,7 @@
     /// Moves the replicas of a machine that is used little onto others that stay
     /// anyway and hold their images, so that it can be returned.
     pub(crate) fn gather(&mut self, now: Secs) {
-        if self.recovering || now < self.hire.next_gather {
+        if self.recovering || now < self.cloud_requests.next_gather {
             return;
         }
         // Not while idle work waits either: it fills what replicas leave. Mistaken jobs
@@ -356,7 +357,7 @@
             return;
         }
         let crowd = (self.machines.len() as f64 / GATHER_FLEET).max(1.0);
-        self.hire.next_gather = now + GATHER_EVERY_S / crowd;
+        self.cloud_requests.next_gather = now + GATHER_EVERY_S / crowd;
         let Some(m) = self.machines.get_mut(&id) else { return };
         m.cordoned = true;
         m.push = true;
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -8,7 +8,7 @@
 //! pledge outlives the restart of the process that gave it.
 
 use crate::consts::*;
-use crate::event::{Action, OpId, Out, PledgeAnswer, Secs, StoreRequest, StoreResult};
+use crate::event::{Action, ActionSink, OpId, PledgeAnswer, Secs, StoreRequest, StoreResult};
 use crate::replica::Replica;
 use marblebarrow_proto::cbor::{from_value, to_value};
 use marblebarrow_proto::ids::{NodeId, Term};
@@ -18,7 +18,7 @@
 
 /// A leadership.
 #[derive(Debug, Clone)]
-pub struct Held {
+pub struct Leadership {
     /// The grant of the leader key.
     pub grant: u64,
     /// The term.
@@ -47,12 +47,12 @@
         since: Secs,
         term: Term,
     },
-    Leader(Held),
+    Leader(Leadership),
 }
 
 /// What an election step led to.
 #[derive(Debug, PartialEq)]
-pub enum Turn {
+pub enum LeadershipChange {
     /// Nothing.
     None,
     /// We lead from now on.
@@ -120,7 +120,7 @@
     }
 
     /// The leadership, if we hold it (whether or not we may act).
-    pub fn held(&self) -> Option<&Held> {
+    pub fn leadership(&self) -> Option<&Leadership> {
         match &self.role {
             Role::Leader(h) => Some(h),
             _ => None,
@@ -129,14 +129,14 @@
 
     /// The term in which we may act, and until when nobody else can: while the
     /// grant surely lives, and while every peer's pledge does.
-    pub fn tenure(&self) -> Option<(u64, Secs, Secs)> {
-        let held = self.held()?;
+    pub fn leadership_bounds(&self) -> Option<(u64, Secs, Secs)> {
+        let held = self.leadership()?;
         Some((held.term.0, held.valid_until, self.least_of(&self.pledges)))
     }
 
     /// When we knew of every cancellation that any peer had confirmed, as the
     /// peers themselves told.
-    pub fn informed_at(&self) -> Secs {
+    pub fn cancellations_known_at(&self) -> Secs {
         self.least_of(&self.informed)
     }
 
@@ -151,7 +151,7 @@
     }
 
     /// Steps with time.
-    pub fn tick(&mut self, now: Secs, replica: &Replica, out: &mut Out) -> Turn {
+    pub fn tick(&mut self, now: Secs, replica: &Replica, out: &mut ActionSink) -> LeadershipChange {
         match &mut self.role {
             Role::Follower => self.follow(now, replica, out),
             Role::Granting(_, since) | Role::Reading { since, .. } => {
@@ -179,10 +179,10 @@
                 }
             }
         }
-        Turn::None
+        LeadershipChange::None
     }
 
-    fn follow(&mut self, now: Secs, replica: &Replica, out: &mut Out) {
+    fn follow(&mut self, now: Secs, replica: &Replica, out: &mut ActionSink) {
         if !replica.synced {
             return;
         }
@@ -197,7 +197,9 @@
                 out.store(StoreRequest::Revoke(rec.grant));
             }
             Some(_) => self.not_before = self.not_before.max(now + self.spread),
-            None if now >= self.not_before + self.deference() && !self.too_lonely(now) => {
+            None if now >= self.not_before + self.election_backoff()
+                && !self.hears_no_peer(now) =>
+            {
                 let op = out.store(StoreRequest::Grant(GRANT_MS));
                 self.role = Role::Granting(op, now);
             }
@@ -208,7 +210,7 @@
     /// Lets another stand first whose workers would find their way sooner. (Where
     /// a controller was down and then the leader stood still, half the workers
     /// once outlived their leases between the two.)
-    fn deference(&self) -> Secs {
+    fn election_backoff(&self) -> Secs {
         if self.next_silent { NEXT_SILENT_S } else { 0.0 }
     }
 
@@ -218,12 +220,12 @@
     }
 
     /// Hears no other controller, and hasn't waited the longer for it.
-    fn too_lonely(&self, now: Secs) -> bool {
+    fn hears_no_peer(&self, now: Secs) -> bool {
         self.alone_since.is_some_and(|since| now - since.max(self.not_before) < ALONE_S)
     }
 
     /// Whether any other controller was heard lately.
-    pub fn company(&mut self, now: Secs, any: bool) {
+    pub fn note_peer_heard(&mut self, now: Secs, any: bool) {
         if any || self.peers.is_empty() {
             self.alone_since = None;
         } else {
@@ -254,8 +256,8 @@
 
     /// Gives up the office so that a controller that workers can reach may
     /// take it.
-    pub fn resign(&mut self, now: Secs, out: &mut Out) -> Turn {
-        if let Some(held) = self.held() {
+    pub fn resign(&mut self, now: Secs, out: &mut ActionSink) -> LeadershipChange {
+        if let Some(held) = self.leadership() {
             out.store(StoreRequest::Revoke(held.grant));
         }
         let turn = self.lose(now);
@@ -274,8 +276,8 @@
         now: Secs,
         op: OpId,
         result: &StoreResult,
-        out: &mut Out,
-    ) -> Option<Turn> {
+        out: &mut ActionSink,
+    ) -> Option<LeadershipChange> {
         if let Some((touch, sent)) = self.touch
             && touch == op
         {
@@ -291,7 +293,7 @@
                 } else {
                     self.fall_back(now);
                 }
-                Some(Turn::None)
+                Some(LeadershipChange::None)
             }
             Role::Reading { op: o, grant, since } if *o == op => {
                 let (grant, since) = (*grant, *since);
@@ -299,7 +301,7 @@
                     StoreResult::Value(item) => self.stand(now, grant, since, item.as_ref(), out),
                     _ => self.fall_back(now),
                 }
-                Some(Turn::None)
+                Some(LeadershipChange::None)
             }
             Role::Standing { op: Some(o), grant, since, term } if *o == op => {
                 let (grant, since, term) = (*grant, *since, *term);
@@ -313,7 +315,7 @@
                     }
                     _ => self.fall_back(now),
                 }
-                Some(Turn::None)
+                Some(LeadershipChange::None)
             }
             _ => None,
         }
@@ -325,7 +327,7 @@
         grant: u64,
         since: Secs,
         counter: Option<&marblebarrow_proto::wire::Item>,
-        out: &mut Out,
+        out: &mut ActionSink,
     ) {
         if now < self.not_before {
             return self.fall_back(now);
@@ -357,54 +359,61 @@
         self.role = Role::Standing { op: Some(op), grant, since, term };
     }
 
-    fn win(&mut self, now: Secs, grant: u64, since: Secs, term: Term, version: u64) -> Turn {
+    fn win(
+        &mut self,
+        now: Secs,
+        grant: u64,
+        since: Secs,
+        term: Term,
+        version: u64,
+    ) -> LeadershipChange {
         let valid_until = certain_life(since);
         self.pledges.clear();
         self.touch_failing = false;
         self.next_touch = now;
-        self.role = Role::Leader(Held { grant, term, version, valid_until });
-        Turn::Won
+        self.role = Role::Leader(Leadership { grant, term, version, valid_until });
+        LeadershipChange::Won
     }
 
-    fn touched(&mut self, now: Secs, sent: Secs, result: &StoreResult) -> Turn {
+    fn touched(&mut self, now: Secs, sent: Secs, result: &StoreResult) -> LeadershipChange {
         let Role::Leader(h) = &mut self.role else {
-            return Turn::None;
+            return LeadershipChange::None;
         };
         match result {
             StoreResult::Touched => {
                 h.valid_until = certain_life(sent);
                 self.next_touch = sent + TOUCH_EVERY_S;
                 self.touch_failing = false;
-                Turn::None
+                LeadershipChange::None
             }
             StoreResult::NoGrant => self.lose(now),
             _ => {
                 self.next_touch = now + STORE_RETRY_S;
                 self.touch_failing = true;
-                Turn::None
+                LeadershipChange::None
             }
         }
     }
 
     /// Gives up a leadership.
-    pub fn lose(&mut self, now: Secs) -> Turn {
-        let led = self.held().is_some();
+    pub fn lose(&mut self, now: Secs) -> LeadershipChange {
+        let led = self.leadership().is_some();
         self.touch = None;
         self.fall_back(now);
-        if led { Turn::Lost } else { Turn::None }
+        if led { LeadershipChange::Lost } else { LeadershipChange::None }
     }
 
     /// The watched leader key changed.
-    pub fn leader_changed(&mut self, now: Secs, replica: &Replica) -> Turn {
+    pub fn leader_changed(&mut self, now: Secs, replica: &Replica) -> LeadershipChange {
         let seen = replica.leader.as_ref();
         match &self.role {
             Role::Leader(h) => match seen {
-                Some((_, version)) if *version <= h.version => Turn::None,
+                Some((_, version)) if *version <= h.version => LeadershipChange::None,
                 // Gone, or somebody else's: either way ours no longer stands.
                 // Before the watch has shown our own key, it may be an older
                 // removal; the touch will find out.
-                None if !replica.synced => Turn::None,
-                None => Turn::None,
+                None if !replica.synced => LeadershipChange::None,
+                None => LeadershipChange::None,
                 Some(_) => self.lose(now),
             },
             Role::Standing { grant, since, term, .. } => {
@@ -413,10 +422,10 @@
                     Some((rec, version)) if rec.boot == self.boot && rec.grant == grant => {
                         self.win(now, grant, since, term, *version)
                     }
-                    _ => Turn::None,
+                    _ => LeadershipChange::None,
                 }
             }
-            _ => Turn::None,
+            _ => LeadershipChange::None,
         }
     }
 
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -183,7 +183,7 @@
 #[derive(Clone, Debug)]
 pub enum PeerNews {
     /// A peer beat, or answered one.
-    Beat {
+    Heartbeat {
         /// The peer.
         node: NodeId,
         /// Whether the store serves it.
@@ -262,7 +262,7 @@
         commands: Vec<Command>,
     },
     /// Tell the peers whether the store serves us and whether we lead.
-    Beat {
+    Heartbeat {
         /// The store serves us.
         store_ok: bool,
         /// We hold the leadership.
@@ -276,18 +276,18 @@
         revision: u64,
     },
     /// Show the peers progress.
-    ShowProgress(Vec<(JobId, u32, u32)>),
+    SendProgress(Vec<(JobId, u32, u32)>),
 }
 
 /// Collects actions and names requests.
 #[derive(Debug, Default)]
-pub struct Out {
+pub struct ActionSink {
     /// The actions so far.
     pub actions: Vec<Action>,
     next: u64,
 }
 
-impl Out {
+impl ActionSink {
     /// A new request name.
     pub fn op(&mut self) -> OpId {
         self.next += 1;
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -42,7 +42,7 @@
     pub reached: Option<Secs>,
     /// It is to be sent an order though there is nothing to do, to learn
     /// whether it hears us and what it runs.
-    pub hail: bool,
+    pub probe_due: bool,
     /// Orders in a row that found it unreachable.
     pub unreached: u32,
     /// All that it may run is known: it reported under this term.
@@ -113,7 +113,7 @@
             reported: 0,
             last_report: None,
             reached: None,
-            hail: false,
+            probe_due: false,
             unreached: 0,
             confirmed: false,
             lapsed: None,
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -100,7 +100,7 @@
     /// Attempts that run or may run.
     pub live: BTreeMap<u32, Live>,
     /// Started under an earlier term, not found yet.
-    pub limbo: BTreeSet<u32>,
+    pub maybe_running: BTreeSet<u32>,
     /// Tasks to run again, not before that time.
     pub again: BTreeMap<u32, Secs>,
     /// Pilots.
@@ -162,7 +162,7 @@
             stored_machines: IntSet::new(),
             parts,
             live: BTreeMap::new(),
-            limbo: BTreeSet::new(),
+            maybe_running: BTreeSet::new(),
             again: BTreeMap::new(),
             pilots,
             cursor: 0,
@@ -223,12 +223,14 @@
 
     /// Whether `n` may be started: not done, not running, not in doubt.
     fn startable(&self, n: u32) -> bool {
-        !self.finished.contains(n) && !self.live.contains_key(&n) && !self.limbo.contains(&n)
+        !self.finished.contains(n)
+            && !self.live.contains_key(&n)
+            && !self.maybe_running.contains(&n)
     }
 
     /// All tasks of a gang that are to start together, if it may start.
     pub fn gang_members(&self, now: Secs) -> Vec<u32> {
-        let free = self.live.is_empty() && self.limbo.is_empty() && self.may_start(now);
+        let free = self.live.is_empty() && self.maybe_running.is_empty() && self.may_start(now);
         if !free || self.complete() || self.again.values().any(|&at| at > now) {
             return Vec::new();
         }
@@ -318,7 +320,7 @@
         if self.cancelled || self.closing {
             return 0;
         }
-        let busy = self.finished.len() + self.live.len() as u32 + self.limbo.len() as u32;
+        let busy = self.finished.len() + self.live.len() as u32 + self.maybe_running.len() as u32;
         self.spec().tasks.saturating_sub(busy)
     }
 
@@ -366,7 +368,7 @@
     pub fn over(&mut self, n: u32, outcome: Outcome, now: Secs) {
         let Some(live) = self.live.remove(&n) else {
             if outcome == Outcome::Done {
-                self.limbo.remove(&n);
+                self.maybe_running.remove(&n);
                 self.again.remove(&n);
                 self.finished.insert(n);
             }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -1,15 +1,17 @@
 //! The leader's state and what moves it. Its parts: `recover` (taking over),
 //! `reports` and `orders` (workers), `place`, `gangs` and `preempt` (who runs
-//! where), `writer` (records), `hire`, `rent` and `give_back` (machines).
+//! where), `writer` (records), `cloud_requests`, `provision` and `deprovision` (machines).
 
+use crate::cloud_requests::CloudRequests;
 use crate::consts::*;
-use crate::event::{Answer, CloudResult, DirectResult, OpId, Out, ReplyTo, Secs, StoreResult};
+use crate::event::{
+    ActionSink, Answer, CloudResult, DirectResult, OpId, ReplyTo, Secs, StoreResult,
+};
 use crate::facts::Facts;
 use crate::fleet::Machines;
-use crate::hire::Hire;
 use crate::jobs::{Job, Outcome, Phase};
 use crate::log::Log;
-use crate::place::{Demand, Lineup};
+use crate::place::{Demand, QueueSnapshot};
 use crate::recover::Loading;
 use crate::replica::{Change, Replica};
 use crate::writer::Writer;
@@ -45,7 +47,7 @@
     pub(crate) loading: Option<Loading>,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) machines: Machines,
-    pub(crate) tombs: BTreeMap<MachineId, Secs>,
+    pub(crate) released_machines: BTreeMap<MachineId, Secs>,
     pub(crate) directs: HashMap<OpId, DirectSent>,
     pub(crate) next_attempt: u32,
     /// The last machine number given out, by any leader.
@@ -55,7 +57,7 @@
     pub(crate) backlog: bool,
     pub(crate) least_cpus: f64,
     /// Who waits, as of the last pass.
-    pub(crate) lineup: Lineup,
+    pub(crate) queue_snapshot: QueueSnapshot,
     /// What arrays ask of each image that any waits for, as of the last pass.
     pub(crate) images: HashMap<String, Demand>,
     /// Average time from placing an array's task to its running, fetch
@@ -67,25 +69,31 @@
     pub(crate) prompt_since: Secs,
     pub(crate) next_push: Secs,
     pub(crate) writer: Writer,
-    pub(crate) hire: Hire,
+    pub(crate) cloud_requests: CloudRequests,
     pub(crate) recovering: bool,
     pub(crate) place_due: bool,
     pub(crate) placed_at: Secs,
-    pub(crate) finals: Vec<(JobId, EndRecord)>,
-    next_show: Secs,
-    shows: u32,
-    shown: BTreeMap<JobId, (u32, u32)>,
+    pub(crate) terminal_states: Vec<(JobId, EndRecord)>,
+    next_progress: Secs,
+    progress_rounds: u32,
+    progress_sent: BTreeMap<JobId, (u32, u32)>,
     /// Lines for the log: what was decided, and why.
     pub log: Log,
 }
 
 impl Leader {
     /// Takes office: loads, then recovers, then places.
-    pub fn new(facts: Arc<Facts>, term: Term, version: u64, now: Secs, out: &mut Out) -> Self {
+    pub fn new(
+        facts: Arc<Facts>,
+        term: Term,
+        version: u64,
+        now: Secs,
+        out: &mut ActionSink,
+    ) -> Self {
         let log = Log::new(facts.log);
         let mut leader = Self {
             writer: Writer::new(&facts, now),
-            hire: Hire::new(now),
+            cloud_requests: CloudRequests::new(now),
             facts,
             term,
             version,
@@ -93,13 +101,13 @@
             loading: None,
             jobs: BTreeMap::new(),
             machines: Machines::new(),
-            tombs: BTreeMap::new(),
+            released_machines: BTreeMap::new(),
             directs: HashMap::new(),
             next_attempt: 0,
             next_number: 0,
             backlog: true,
             least_cpus: f64::INFINITY,
-            lineup: Lineup::default(),
+            queue_snapshot: QueueSnapshot::default(),
             images: HashMap::new(),
             start_lag: 0.0,
             next_step: 0.0,
@@ -109,10 +117,10 @@
             recovering: true,
             place_due: true,
             placed_at: 0.0,
-            finals: Vec::new(),
-            next_show: 0.0,
-            shows: 0,
-            shown: BTreeMap::new(),
+            terminal_states: Vec::new(),
+            next_progress: 0.0,
+            progress_rounds: 0,
+            progress_sent: BTreeMap::new(),
             log,
         };
         leader.start_loading(out);
@@ -120,12 +128,12 @@
     }
 
     /// Last words written since the last call.
-    pub fn take_finals(&mut self) -> Vec<(JobId, EndRecord)> {
-        std::mem::take(&mut self.finals)
+    pub fn take_terminal_states(&mut self) -> Vec<(JobId, EndRecord)> {
+        std::mem::take(&mut self.terminal_states)
     }
 
     /// Steps with time. Only called while we may act.
-    pub fn tick(&mut self, now: Secs, wall_ms: u64, replica: &Replica, out: &mut Out) {
+    pub fn tick(&mut self, now: Secs, wall_ms: u64, replica: &Replica, out: &mut ActionSink) {
         if self.loading.is_some() {
             return self.keep_loading(now, wall_ms, replica, out);
         }
@@ -135,7 +143,7 @@
         self.next_step = now + STEP_EVERY_S.max(self.facts.look_pause(self.machines.len()));
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_EVERY_S;
-            self.lapse(now);
+            self.expire_leases(now);
             self.check_recovered(now);
             self.drain_noticed(now);
             self.check_reach(now);
@@ -149,7 +157,7 @@
             self.place(now, None);
         }
         self.flush(now, replica, out);
-        self.hire_tick(now, replica, out);
+        self.cloud_tick(now, replica, out);
         self.push_direct(now, out);
     }
 
@@ -193,7 +201,7 @@
         job.cancelled = replica.is_cancelled(id);
         job.aimed = self.facts.aimed(&job.spec().class);
         job.finish_s = self.facts.finish_s(&job.spec().class);
-        self.hire.saw_job(now, job.spec());
+        self.cloud_requests.saw_job(now, job.spec());
         self.log.push(|| {
             format!(
                 "event=known job={id} kind={:?} rank={:?} tasks={} age_s={age:.1} term={}",
@@ -277,7 +285,7 @@
         job.over(n, outcome, now);
         if self.recovering && earlier && outcome != Outcome::Done {
             job.again.remove(&n);
-            job.limbo.insert(n);
+            job.maybe_running.insert(n);
         }
         if outcome == Outcome::Done {
             self.writer.touch_task(id, n, now, false);
@@ -308,7 +316,7 @@
     /// Machines learn their size from their type.
     pub(crate) fn learn_types(&mut self) {
         for m in self.machines.values_mut() {
-            m.learn_type(self.hire.types.iter().find(|t| t.name == m.info.kind));
+            m.learn_type(self.cloud_requests.types.iter().find(|t| t.name == m.info.kind));
         }
     }
 
@@ -332,7 +340,7 @@
         to: ReplyTo,
         report: &Report,
         replica: &Replica,
-        out: &mut Out,
+        out: &mut ActionSink,
     ) {
         let answer = self.answer_report(now, report, replica);
         out.reply(to, answer.unwrap_or(Answer::Unavailable(RETRY_STORE_S)));
@@ -346,7 +354,7 @@
         op: OpId,
         result: StoreResult,
         replica: &Replica,
-        out: &mut Out,
+        out: &mut ActionSink,
     ) -> bool {
         if self.loading.is_some() {
             self.loaded(now, wall_ms, op, result, replica, out);
@@ -376,7 +384,7 @@
         if matches!(result, DirectResult::Report(..)) {
             m.reached = Some(now);
             m.unreached = 0;
-            m.hail = false;
+            m.probe_due = false;
         }
         if let DirectResult::Report(_, report) = &result
             && (report.session, report.seq) <= sent.known
@@ -391,9 +399,9 @@
             m.reborn = true;
             m.cordoned = true;
             m.releasing = true;
-            m.hail = false;
+            m.probe_due = false;
             m.answered = now;
-            self.hire.release.insert(sent.machine);
+            self.cloud_requests.release.insert(sent.machine);
             return;
         }
         let unknown = result == DirectResult::Unknown;
@@ -402,13 +410,13 @@
         };
         match result {
             DirectResult::Report(_, report) => {
-                self.absorb(now, &report);
+                self.apply_report(now, &report);
                 self.place_due = true;
                 return;
             }
             DirectResult::NotSent | DirectResult::Unknown => {
                 m.unreached += 1;
-                let again = if m.unreached < HAILS { HAIL_AGAIN_S } else { DIRECT_BACKOFF_S };
+                let again = if m.unreached < PROBES { PROBE_AGAIN_S } else { DIRECT_BACKOFF_S };
                 m.direct_after = now + again;
                 if m.session != sent.session {
                     return;
@@ -432,27 +440,27 @@
 
     /// How far jobs are, for this controller's own answers and the peers'.
     /// (The leader's users once saw no progress: it was sent to peers only.)
-    pub fn progress_news(&mut self, now: Secs) -> Vec<(JobId, u32, u32)> {
-        if now < self.next_show {
+    pub fn progress_updates(&mut self, now: Secs) -> Vec<(JobId, u32, u32)> {
+        if now < self.next_progress {
             return Vec::new();
         }
-        self.next_show = now + PROGRESS_EVERY_S;
-        self.shows += 1;
-        if self.shows.is_multiple_of(PROGRESS_ALL_EVERY) {
-            self.shown.clear();
+        self.next_progress = now + PROGRESS_EVERY_S;
+        self.progress_rounds += 1;
+        if self.progress_rounds.is_multiple_of(PROGRESS_ALL_EVERY) {
+            self.progress_sent.clear();
         }
         let mut news = Vec::new();
         for (id, job) in &self.jobs {
             let running = job.live.values().filter(|l| l.phase == Phase::Running).count() as u32;
             let figures = (job.finished.len(), running);
-            if self.shown.get(id) != Some(&figures) {
-                self.shown.insert(id.clone(), figures);
+            if self.progress_sent.get(id) != Some(&figures) {
+                self.progress_sent.insert(id.clone(), figures);
                 news.push((id.clone(), figures.0, figures.1));
             }
         }
         let gone: BTreeSet<JobId> =
-            self.shown.keys().filter(|id| !self.jobs.contains_key(*id)).cloned().collect();
-        self.shown.retain(|id, _| !gone.contains(id));
+            self.progress_sent.keys().filter(|id| !self.jobs.contains_key(*id)).cloned().collect();
+        self.progress_sent.retain(|id, _| !gone.contains(id));
         news
     }
 
@@ -461,8 +469,8 @@
     ///
     /// (A leader short of processor time once heard nobody for seconds, and resigned;
     /// so did the next, which had all the work of taking over besides.)
-    pub fn deaf(&self, now: Secs) -> bool {
-        let silence = self.facts.report_s * DEAF_REPORTS + DEAF_MARGIN_S;
+    pub fn workers_unreachable(&self, now: Secs) -> bool {
+        let silence = self.facts.report_s * WORKERS_SILENT_REPORTS + WORKERS_SILENT_MARGIN_S;
         if !self.prompt_for(now, silence) {
             return false;
         }
@@ -474,7 +482,7 @@
             }
             silent += 1;
         }
-        silent >= DEAF_MACHINES
+        silent >= WORKERS_SILENT_LEAST
     }
 
     /// Whether this process has had the processor whenever it wanted it for so long.
@@ -492,7 +500,7 @@
     pub(crate) fn team_usage(&self) -> BTreeMap<String, [f64; 2]> {
         let mut usage: BTreeMap<String, [f64; 2]> = BTreeMap::new();
         for job in self.jobs.values() {
-            let n = (job.live.len() + job.limbo.len()) as f64;
+            let n = (job.live.len() + job.maybe_running.len()) as f64;
             let slot = match usage.get_mut(&job.spec().team) {
                 Some(s) => s,
                 None => usage.entry(job.spec().team.clone()).or_default(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,14 +1,13 @@
 //! The scheduler without input or output: events and time in, actions out.
 
+mod cloud_requests;
 pub mod consts;
-pub mod desk;
+mod deprovision;
 pub mod election;
 pub mod event;
 pub mod facts;
 pub mod fleet;
 mod gangs;
-mod give_back;
-mod hire;
 pub mod jobs;
 pub mod leader;
 pub mod log;
@@ -16,8 +15,9 @@
 mod orders;
 mod place;
 mod preempt;
+mod provision;
 mod recover;
-mod rent;
 pub mod replica;
 mod reports;
+pub mod user_api;
 mod writer;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,12 +1,12 @@
 //! One controller: events and time in, actions out.
 
 use crate::consts::*;
-use crate::desk::{Around, Desk};
-use crate::election::{Election, Turn};
+use crate::election::{Election, LeadershipChange};
 use crate::event::*;
 use crate::facts::Facts;
 use crate::leader::Leader;
 use crate::replica::{Change, Replica};
+use crate::user_api::{RequestContext, UserApi};
 use marblebarrow_proto::ids::{JobId, NodeId};
 use marblebarrow_proto::records::TERM;
 use marblebarrow_proto::wire::MachineType;
@@ -19,16 +19,16 @@
     facts: Arc<Facts>,
     election: Election,
     replica: Replica,
-    desk: Desk,
+    user_api: UserApi,
     leader: Option<Leader>,
     types: Option<Vec<MachineType>>,
     types_op: Option<OpId>,
     next_types: Secs,
-    out: Out,
+    out: ActionSink,
     store_fails: u32,
     store_ok_at: Secs,
     probe: Option<OpId>,
-    next_beat: Secs,
+    next_heartbeat: Secs,
     /// When the next step was asked for.
     due: Secs,
     peers_ok: BTreeMap<NodeId, (Secs, bool)>,
@@ -44,16 +44,16 @@
             facts,
             election,
             replica: Replica::default(),
-            desk: Desk::default(),
+            user_api: UserApi::default(),
             leader: None,
             types: None,
             types_op: None,
             next_types: now,
-            out: Out::default(),
+            out: ActionSink::default(),
             store_fails: 0,
             store_ok_at: now,
             probe: None,
-            next_beat: now,
+            next_heartbeat: now,
             due: now,
             peers_ok: BTreeMap::new(),
             log: Vec::new(),
@@ -92,7 +92,7 @@
     /// and then it refused all for longer than those may take. The leader kept
     /// the leases of tasks that it didn't know to be cancelled.)
     pub fn authority(&self) -> Option<(u64, Secs)> {
-        let (term, granted, pledged) = self.election.tenure()?;
+        let (term, granted, pledged) = self.election.leadership_bounds()?;
         if self.facts.others.is_empty() {
             return Some((term, granted));
         }
@@ -104,8 +104,8 @@
 
     /// Every cancellation confirmed by then is known to us.
     fn known_at(&self) -> Secs {
-        if self.replica.whole() {
-            self.replica.current_at.max(self.election.informed_at())
+        if self.replica.is_complete() {
+            self.replica.current_at.max(self.election.cancellations_known_at())
         } else {
             self.replica.current_at
         }
@@ -114,7 +114,7 @@
     // Serves the store well enough to keep our grant, and yet doesn't tell what is
     // new, and soon we may not act for it: another's watch may fare better.
     fn out_of_date(&self, now: Secs) -> bool {
-        self.election.held().is_some()
+        self.election.leadership().is_some()
             && !self.election.touch_failing()
             && !self.facts.others.is_empty()
             && now > self.known_at() + self.facts.replica_age_to_resign()
@@ -127,16 +127,16 @@
     /// When [`Node::tick`] should be called at the latest.
     pub fn wake(&self, now: Secs) -> Secs {
         let usual = now + if self.leader.is_some() { LEADER_STEP_S } else { FOLLOWER_STEP_S };
-        self.desk.wake().map_or(usual, |w| usual.min(w))
+        self.user_api.wake().map_or(usual, |w| usual.min(w))
     }
 
     /// Takes an event.
     pub fn handle(&mut self, now: Secs, wall_ms: u64, event: Event) {
         match event {
             Event::User(to, UserRequest::Health) => self.health(now, to),
-            Event::User(to, req) => {
-                self.with_desk(now, wall_ms, |desk, a, out| desk.ask(a, to, req, out))
-            }
+            Event::User(to, req) => self.with_user_api(now, wall_ms, |user_api, context, out| {
+                user_api.ask(context, to, req, out)
+            }),
             Event::Report(to, report) => self.report(now, to, &report),
             Event::Store(op, result) => self.store(now, wall_ms, op, result),
             Event::Watch(news) => {
@@ -144,7 +144,7 @@
                 for change in &changes {
                     if matches!(change, Change::Leader | Change::All) {
                         let turn = self.election.leader_changed(now, &self.replica);
-                        self.turn(now, turn);
+                        self.change_leadership(now, turn);
                     }
                     if let Some(l) = &mut self.leader {
                         l.change(now, wall_ms, change, &self.replica);
@@ -178,41 +178,43 @@
             l.late_step(now);
         }
         self.due = now + LEADER_STEP_S;
-        let company = self.peers_ok.values().any(|&(at, _)| now - at < BEAT_FRESH_S);
-        self.election.company(now, company);
+        let company = self.peers_ok.values().any(|&(at, _)| now - at < HEARTBEAT_FRESH_S);
+        self.election.note_peer_heard(now, company);
         self.election.next_in_turn(company && !self.heard(now, self.facts.next_in_turn()));
         let turn = self.election.tick(now, &self.replica, &mut self.out);
-        self.turn(now, turn);
-        if self.leader.as_ref().is_some_and(|l| l.deaf(now)) && !self.facts.others.is_empty() {
+        self.change_leadership(now, turn);
+        if self.leader.as_ref().is_some_and(|l| l.workers_unreachable(now))
+            && !self.facts.others.is_empty()
+        {
             // The store alone still hears us: someone else should lead.
-            self.log.push("event=resign why=deaf".into());
+            self.log.push("event=resign why=workers_unreachable".into());
             let turn = self.election.resign(now, &mut self.out);
-            self.turn(now, turn);
+            self.change_leadership(now, turn);
         }
         if self.out_of_date(now) {
             self.log.push("event=resign why=out_of_date".into());
             let turn = self.election.resign(now, &mut self.out);
-            self.turn(now, turn);
+            self.change_leadership(now, turn);
         }
         if self.may_act(now)
             && let Some(l) = &mut self.leader
         {
             l.tick(now, wall_ms, &self.replica, &mut self.out);
-            for (id, end) in l.take_finals() {
-                self.desk.remember(&id, end);
+            for (id, end) in l.take_terminal_states() {
+                self.user_api.remember(&id, end);
             }
-            let news = l.progress_news(now);
+            let news = l.progress_updates(now);
             if !news.is_empty() {
                 self.learn_progress(news.clone());
-                self.out.actions.push(Action::ShowProgress(news));
+                self.out.actions.push(Action::SendProgress(news));
             }
         }
-        self.with_desk(now, wall_ms, |desk, a, out| desk.tick(a, out));
-        if now >= self.next_beat {
-            let every = if self.election.fresh() { BEAT_FIRST_S } else { BEAT_EVERY_S };
-            self.next_beat = now + every;
-            let (store_ok, leading) = (!self.store_bad(), self.election.held().is_some());
-            self.out.actions.push(Action::Beat { store_ok, leading });
+        self.with_user_api(now, wall_ms, |user_api, context, out| user_api.tick(context, out));
+        if now >= self.next_heartbeat {
+            let every = if self.election.fresh() { HEARTBEAT_FIRST_S } else { HEARTBEAT_EVERY_S };
+            self.next_heartbeat = now + every;
+            let (store_ok, leading) = (!self.store_bad(), self.election.leadership().is_some());
+            self.out.actions.push(Action::Heartbeat { store_ok, leading });
         }
         if self.probe.is_none() && now - self.store_ok_at > STORE_PROBE_S {
             self.probe = Some(self.out.store(StoreRequest::Get(TERM.into())));
@@ -226,16 +228,16 @@
 
     fn heard(&self, now: Secs, peer: Option<&NodeId>) -> bool {
         let at = peer.and_then(|p| self.peers_ok.get(p)).map(|&(at, _)| at);
-        peer.is_none() || at.is_some_and(|at| now - at < BEAT_FRESH_S)
+        peer.is_none() || at.is_some_and(|at| now - at < HEARTBEAT_FRESH_S)
     }
 
-    fn with_desk(
+    fn with_user_api(
         &mut self,
         now: Secs,
         wall_ms: u64,
-        f: impl FnOnce(&mut Desk, &Around<'_>, &mut Out),
+        f: impl FnOnce(&mut UserApi, &RequestContext<'_>, &mut ActionSink),
     ) {
-        let around = Around {
+        let around = RequestContext {
             now,
             wall_ms,
             facts: &self.facts,
@@ -243,9 +245,9 @@
             types: self.types.as_deref().or(self.replica.types.as_deref()),
             store_bad: self.store_fails >= STORE_BAD_AFTER,
         };
-        f(&mut self.desk, &around, &mut self.out);
+        f(&mut self.user_api, &around, &mut self.out);
         // Before any answer leaves: what we tell users, we know ourselves.
-        for (id, revision) in self.desk.take_confirmed() {
+        for (id, revision) in self.user_api.take_confirmed() {
             self.learn_cancelled(now, &id, revision);
         }
     }
@@ -262,7 +264,8 @@
     // store no controller is better than another. One that neither the store
     // serves nor any peer is heard by is the one cut off.
     fn health(&mut self, now: Secs, to: ReplyTo) {
-        let mut heard = self.peers_ok.values().filter(|(at, _)| now - at < BEAT_FRESH_S).peekable();
+        let mut heard =
+            self.peers_ok.values().filter(|(at, _)| now - at < HEARTBEAT_FRESH_S).peekable();
         let alone = heard.peek().is_none() && !self.facts.others.is_empty();
         let better = alone || heard.any(|&(_, ok)| ok);
         let healthy = self.replica.synced && !(self.store_bad() && better);
@@ -296,10 +299,12 @@
             return;
         }
         if let Some(turn) = self.election.store(now, op, &result, &mut self.out) {
-            return self.turn(now, turn);
+            return self.change_leadership(now, turn);
         }
         let mut ours = false;
-        self.with_desk(now, wall_ms, |desk, a, out| ours = desk.store(a, op, &result, out));
+        self.with_user_api(now, wall_ms, |user_api, context, out| {
+            ours = user_api.store(context, op, &result, out)
+        });
         if ours {
             return;
         }
@@ -307,22 +312,22 @@
             && !l.store(now, wall_ms, op, result, &self.replica, &mut self.out)
         {
             let turn = self.election.lose(now);
-            self.turn(now, turn);
+            self.change_leadership(now, turn);
         }
     }
 
-    fn turn(&mut self, now: Secs, turn: Turn) {
+    fn change_leadership(&mut self, now: Secs, turn: LeadershipChange) {
         match turn {
-            Turn::None => {}
-            Turn::Won => {
-                if let Some(held) = self.election.held().cloned() {
+            LeadershipChange::None => {}
+            LeadershipChange::Won => {
+                if let Some(held) = self.election.leadership().cloned() {
                     self.log.push(format!("event=won term={}", held.term.0));
                     let facts = self.facts.clone();
                     self.leader =
                         Some(Leader::new(facts, held.term, held.version, now, &mut self.out));
                 }
             }
-            Turn::Lost => {
+            LeadershipChange::Lost => {
                 self.log.push("event=lost".into());
                 self.leader = None;
             }
@@ -331,7 +336,7 @@
 
     fn peer(&mut self, now: Secs, news: PeerNews) {
         match news {
-            PeerNews::Beat { node, store_ok, leading } => {
+            PeerNews::Heartbeat { node, store_ok, leading } => {
                 self.peers_ok.insert(node.clone(), (now, store_ok));
                 if let Some(leading) = leading {
                     self.election.peer_leads(now, node, leading);
@@ -342,7 +347,8 @@
                 let granted = self.election.pledge_asked(now, (&from, term), replica, refuses);
                 let (cancelled, more) =
                     replica.cancelled_since(revision, after.as_ref(), PLEDGE_CANCELS);
-                let answer = PledgeAnswer { granted, whole: replica.whole(), cancelled, more };
+                let answer =
+                    PledgeAnswer { granted, whole: replica.is_complete(), cancelled, more };
                 self.out.actions.push(Action::PledgeReply(reply, answer));
             }
             PeerNews::Pledged { node, sent, answer } => {
@@ -361,7 +367,7 @@
             .into_iter()
             .filter(|(id, ..)| specs.contains_key(id))
             .map(|(id, done, running)| (id, (done, running)));
-        self.desk.progress.extend(known);
-        self.desk.progress.retain(|id, _| specs.contains_key(id));
+        self.user_api.progress.extend(known);
+        self.user_api.progress.retain(|id, _| specs.contains_key(id));
     }
 }
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -1,7 +1,7 @@
 //! Orders to workers, directly or in answers, whether they arrive, and leases.
 
 use crate::consts::*;
-use crate::event::{Action, Out, Secs};
+use crate::event::{Action, ActionSink, Secs};
 use crate::jobs::{Job, Phase};
 use crate::leader::{DirectSent, Leader};
 use marblebarrow_proto::ids::{MachineId, TaskId};
@@ -72,7 +72,7 @@
     }
 
     /// Sends directly what shouldn't wait for the next report.
-    pub(crate) fn push_direct(&mut self, now: Secs, out: &mut Out) {
+    pub(crate) fn push_direct(&mut self, now: Secs, out: &mut ActionSink) {
         if now < self.next_push {
             return;
         }
@@ -87,7 +87,7 @@
             .filter(|(_, m)| {
                 m.direct.is_none()
                     && now >= m.direct_after
-                    && (m.push && m.session != 0 && m.lapsed.is_none() || m.hail)
+                    && (m.push && m.session != 0 && m.lapsed.is_none() || m.probe_due)
             })
             .map(|(id, m)| (m.unreached > 0, m.direct_after, id.clone()))
             .collect();
@@ -100,12 +100,14 @@
             if self.directs.len() >= most || doubt && doubtful >= most_doubtful {
                 break;
             }
-            let Some((session, hail)) = self.machines.get(&id).map(|m| (m.session, m.hail)) else {
+            let Some((session, probe_due)) =
+                self.machines.get(&id).map(|m| (m.session, m.probe_due))
+            else {
                 continue;
             };
             let (commands, starts) =
                 if session != 0 { self.compose(&id) } else { (Vec::new(), Vec::new()) };
-            if hail || !commands.is_empty() {
+            if probe_due || !commands.is_empty() {
                 doubtful += usize::from(doubt);
                 // An unknown session is refused, with the report we want.
                 self.send_direct(&id, session.max(1), commands, starts, out);
@@ -119,7 +121,7 @@
         session: u64,
         commands: Vec<Command>,
         starts: Vec<TaskId>,
-        out: &mut Out,
+        out: &mut ActionSink,
     ) {
         let Some(m) = self.machines.get_mut(id) else {
             return;
@@ -142,21 +144,21 @@
     /// Machines that are heard but haven't shown for long that they hear us are
     /// asked directly, and so are those that missed a report.
     pub(crate) fn check_reach(&mut self, now: Secs) {
-        let ask = (self.facts.report_s * REACH_REPORTS + WORKER_GIVES_UP_S) * HAIL_SHARE;
+        let ask = (self.facts.report_s * REACH_REPORTS + WORKER_GIVES_UP_S) * PROBE_SHARE;
         let quiet = self.facts.report_s * QUIET_REPORTS + QUIET_MARGIN_S;
         for m in self.machines.values_mut() {
             let Some(since) = m.heard.map(|h| now - h) else { continue };
             let heard = since < self.facts.report_s * SILENT_REPORTS;
             let unsure = heard && m.reached.is_none_or(|at| now - at > ask);
-            let missed = since > quiet && m.unreached < QUIET_HAILS && m.lapsed.is_none();
+            let missed = since > quiet && m.unreached < QUIET_PROBES && m.lapsed.is_none();
             if unsure || missed && !m.releasing {
-                m.hail = true;
+                m.probe_due = true;
             }
         }
     }
 
     /// Leases that surely ran out.
-    pub(crate) fn lapse(&mut self, now: Secs) {
+    pub(crate) fn expire_leases(&mut self, now: Secs) {
         let life = self.facts.lease_s * (1.0 + DRIFT) + LEASE_MARGIN_S;
         let lapsed: Vec<MachineId> = self
             .machines
@@ -167,7 +169,7 @@
         for id in lapsed {
             if let Some(m) = self.machines.get_mut(&id) {
                 m.lapsed = Some(m.session);
-                m.hail = false;
+                m.probe_due = false;
                 m.confirmed = true;
             }
             self.log.push(|| format!("event=lapsed machine={id} term={}", self.term.0));
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -56,7 +56,7 @@
             spot: spec.spot,
             zone: spec.zone.clone(),
             types: spec.types.clone(),
-            image: (images == Images::Held).then(|| spec.image.clone()),
+            image: (images == Images::Leadership).then(|| spec.image.clone()),
             claim: claim.map(|c| (c, spec.priority, spec.team.clone())),
         })
     }
@@ -77,7 +77,7 @@
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum Images {
     /// Those that hold it.
-    Held,
+    Leadership,
     /// All, if a fetch is worth it; else those that hold it.
     Worth,
     /// All.
@@ -88,7 +88,7 @@
     /// Whether a machine will do that takes so long to fetch it, seconds.
     pub(crate) fn allow(self, fetch: f64) -> bool {
         match self {
-            Self::Held => fetch < 0.1,
+            Self::Leadership => fetch < 0.1,
             Self::Worth | Self::Any => true,
         }
     }
@@ -98,7 +98,7 @@
 /// each pass over all machines; a machine that comes free in between is filled
 /// from it, so that a report costs no look at all jobs.
 #[derive(Debug, Default)]
-pub(crate) struct Lineup {
+pub(crate) struct QueueSnapshot {
     services: Vec<JobId>,
     arrays: Vec<JobId>,
     used: [f64; QUEUES],
@@ -134,7 +134,7 @@
 impl Leader {
     /// Places what can be placed now, on any machine or only on one.
     pub(crate) fn place(&mut self, now: Secs, only: Option<&MachineId>) {
-        if self.hire.types.is_empty() {
+        if self.cloud_requests.types.is_empty() {
             return;
         }
         // Only machines with room for the smallest task are looked at again:
@@ -172,7 +172,7 @@
             rooms,
             only: only.cloned(),
             failed: HashSet::new(),
-            takes: if self.lineup.spare { RANK_TAKES } else { 0 },
+            takes: if self.queue_snapshot.spare { RANK_TAKES } else { 0 },
         };
         self.place_services(&mut pass);
         if only.is_none() {
@@ -186,11 +186,11 @@
         for whose in turns.into_iter().filter(|w| *w != Whose::Guaranteed || guarantees) {
             // Where machines are short, fetches are what they are short for:
             // whoever finds its image goes before whoever must fetch it.
-            for images in [Images::Held, Images::Worth] {
+            for images in [Images::Leadership, Images::Worth] {
                 self.place_arrays(&mut pass, whose, images);
             }
         }
-        if pass.takes == 0 && self.lineup.spare && only.is_none() {
+        if pass.takes == 0 && self.queue_snapshot.spare && only.is_none() {
             self.place_due = true;
         }
         if only.is_none() {
@@ -212,7 +212,7 @@
             }
         }
         let services = self.waiting_by_rank(Kind::Service);
-        self.lineup = Lineup { services, arrays, used, spare };
+        self.queue_snapshot = QueueSnapshot { services, arrays, used, spare };
     }
 
     /// Counts, for each image, what waits for it and who holds or fetches it.
@@ -250,14 +250,14 @@
         let Some(job) = self.jobs.get(id) else { return false };
         let spec = job.spec();
         let Some(demand) = self.images.get(&spec.image) else { return true };
-        let rate = self.hire.types.iter().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
+        let rate = self.cloud_requests.types.iter().map(|t| t.fetch_gb_per_s).fold(0.0, f64::max);
         let fetch = spec.image_gb / rate.max(1e-3);
         let come_free = demand.holders * fetch / job.likely_run().max(0.1);
         demand.waiting > come_free * HOLDERS_FREE_SHARE
     }
 
     fn place_services(&mut self, pass: &mut Pass) {
-        for id in self.lineup.services.clone() {
+        for id in self.queue_snapshot.services.clone() {
             while let Some(n) = self.jobs.get_mut(&id).and_then(|j| j.next_task(pass.now)) {
                 // A machine with the image at once, be it by preemption; then
                 // wherever the fetch is shortest.
@@ -266,9 +266,9 @@
                 // in a full fleet most services once fetched on what came free
                 // while machines with their image ran arrays.
                 let alone = pass.only.is_some();
-                let placed = self.place_task(pass, &id, n, Images::Held)
+                let placed = self.place_task(pass, &id, n, Images::Leadership)
                     || !alone
-                        && (self.preempt_for(pass, &id, n, Images::Held, Claim::Rank)
+                        && (self.preempt_for(pass, &id, n, Images::Leadership, Claim::Rank)
                             || self.place_task(pass, &id, n, Images::Any)
                             || self.preempt_for(pass, &id, n, Images::Any, Claim::Rank));
                 if !placed {
@@ -295,7 +295,7 @@
     /// One task of each job that waited too long for its first.
     fn place_overdue(&mut self, pass: &mut Pass) {
         let mut ids: Vec<(Secs, JobId)> = self
-            .lineup
+            .queue_snapshot
             .arrays
             .iter()
             .filter_map(|id| Some((id, self.jobs.get(id)?)))
@@ -321,12 +321,12 @@
         let mut unsized_jobs = Vec::new();
         // Without preemption nothing can be placed where there is no room.
         let stops = (guaranteed || whose == Whose::Usual && pass.takes > 0)
-            && images != Images::Held
+            && images != Images::Leadership
             && pass.only.is_none();
         if pass.rooms.is_empty() && !stops {
             return;
         }
-        for id in &self.lineup.arrays {
+        for id in &self.queue_snapshot.arrays {
             let Some(job) = self.jobs.get(id) else { continue };
             let q = job.queue.map_or(PILOT_QUEUE, usize::from);
             if job.waiting() == 0
@@ -354,7 +354,7 @@
         loop {
             let weight = |q: usize| QUEUE_GROWTH.powi(-(q as i32));
             let next = (0..QUEUES).filter(|&q| !queues[q].is_empty()).min_by(|&a, &b| {
-                let used = &self.lineup.used;
+                let used = &self.queue_snapshot.used;
                 (used[a] / weight(a)).total_cmp(&(used[b] / weight(b)))
             });
             let Some(q) = next.filter(|_| stops || !pass.rooms.is_empty()) else { break };
@@ -362,7 +362,7 @@
                 break;
             };
             match self.place_next(pass, &id, serve, guaranteed, images) {
-                Some(cpus) => self.lineup.used[q] += cpus,
+                Some(cpus) => self.queue_snapshot.used[q] += cpus,
                 None => {
                     queues[q].pop();
                 }
@@ -394,12 +394,12 @@
         let cpus = job.spec().cpus.max(1e-3);
         // Patience with images has an end, or a rare one would never be fetched.
         let waited = pass.now - job.arrived > IMAGE_PATIENCE_S;
-        let last = images != Images::Held;
+        let last = images != Images::Leadership;
         let images = match images {
-            Images::Held if !waited => Images::Held,
+            Images::Leadership if !waited => Images::Leadership,
             Images::Any => Images::Any,
             _ if self.worth_fetch(id) => Images::Any,
-            _ => Images::Held,
+            _ => Images::Leadership,
         };
         if self.place_task(pass, id, n, images) {
             return Some(cpus);
@@ -420,7 +420,7 @@
         if !guaranteed || patient {
             return None;
         }
-        let given = self.preempt_for(pass, id, n, Images::Held, Claim::Guarantee);
+        let given = self.preempt_for(pass, id, n, Images::Leadership, Claim::Guarantee);
         given.then_some(cpus)
     }
 
@@ -492,7 +492,7 @@
             return true;
         }
         // Tasks that may run in places unknown: no promise about zones.
-        if !job.limbo.is_empty() {
+        if !job.maybe_running.is_empty() {
             return false;
         }
         let zone_of = |l: &Live| self.machines.get(&l.machine).map(|m| m.info.zone.as_str());
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/provision.rs
@@ -1,11 +1,11 @@
 //! Renting: what waits, what will be late, what should stand warm.
 
+use crate::cloud_requests::Pending;
 use crate::consts::*;
-use crate::desk::type_allows;
-use crate::event::{CloudRequest, Out, Secs};
-use crate::hire::Pending;
+use crate::event::{ActionSink, CloudRequest, Secs};
 use crate::jobs::Job;
 use crate::leader::Leader;
+use crate::user_api::type_allows;
 use marblebarrow_proto::ids::{JobId, MachineId};
 use marblebarrow_proto::job::{JobSpec, Kind};
 use marblebarrow_proto::wire::{MachineType, Rent};
@@ -67,8 +67,13 @@
 impl Leader {
     /// Rooms of the machines that are up or on their way.
     fn rooms(&self, now: Secs, without: Option<&MachineId>) -> Vec<Room> {
-        let kinds: BTreeMap<&str, (usize, &MachineType)> =
-            self.hire.types.iter().enumerate().map(|(i, t)| (t.name.as_str(), (i, t))).collect();
+        let kinds: BTreeMap<&str, (usize, &MachineType)> = self
+            .cloud_requests
+            .types
+            .iter()
+            .enumerate()
+            .map(|(i, t)| (t.name.as_str(), (i, t)))
+            .collect();
         let mut rooms = Vec::new();
         let zone_of =
             |t: &MachineType, zone: &str| t.zones.iter().position(|z| z == zone).unwrap_or(0);
@@ -81,11 +86,13 @@
                 rooms.push(Room { at: now, free: m.free(), spot: m.info.spot, kind: *kind, zone });
             }
         }
-        for b in self.hire.booting.values().filter(|b| !b.failed) {
+        for b in self.cloud_requests.booting.values().filter(|b| !b.failed) {
             let Some((kind, t)) = kinds.get(b.kind.as_str()) else { continue };
-            let boot = self.hire.boot(t, &b.zone);
+            let boot = self.cloud_requests.boot(t, &b.zone);
             let counted = t.boot_s.max(boot) * BOOT_COUNTED + 5.0;
-            if now - b.since < counted || b.up && now - self.hire.office_at < RENT_AFTER_S * 2.0 {
+            if now - b.since < counted
+                || b.up && now - self.cloud_requests.office_at < RENT_AFTER_S * 2.0
+            {
                 let overdue = now > b.since + boot && !b.up;
                 let more = boot.min(t.boot_s) * BOOT_MORE;
                 rooms.push(Room {
@@ -104,11 +111,17 @@
     /// fetches, per class.
     fn warm_wanted(&mut self, now: Secs) -> Vec<(JobSpec, u32)> {
         let bounds = |t: &MachineType| (t.boot_s * BOOT_WARM.0, t.boot_s * BOOT_WARM.1);
-        let boot = |t: &MachineType| self.hire.boot_anywhere(t).clamp(bounds(t).0, bounds(t).1);
-        let boot = self.hire.types.iter().map(boot).fold(0.0, f64::max);
-        let fetch = self.hire.types.iter().map(|t| t.fetch_gb_per_s).fold(f64::INFINITY, f64::min);
+        let boot =
+            |t: &MachineType| self.cloud_requests.boot_anywhere(t).clamp(bounds(t).0, bounds(t).1);
+        let boot = self.cloud_requests.types.iter().map(boot).fold(0.0, f64::max);
+        let fetch = self
+            .cloud_requests
+            .types
+            .iter()
+            .map(|t| t.fetch_gb_per_s)
+            .fold(f64::INFINITY, f64::min);
         let mut wanted = Vec::new();
-        for class in self.hire.services.values_mut() {
+        for class in self.cloud_requests.services.values_mut() {
             class.arrivals.retain(|at| now - at < RATE_WINDOW_S);
             // What waits at the start is a backlog, not a rate.
             let rate = class.arrivals.len() as f64 / RATE_WINDOW_S;
@@ -122,16 +135,21 @@
     pub(crate) fn warm_without(&mut self, now: Secs, id: &MachineId) -> bool {
         let mut rooms = self.rooms(now, Some(id));
         let wanted = self.warm_wanted(now);
-        wanted.iter().all(|(spec, n)| Need::of(spec, &self.hire.types).lacking(&mut rooms, *n) == 0)
+        wanted.iter().all(|(spec, n)| {
+            Need::of(spec, &self.cloud_requests.types).lacking(&mut rooms, *n) == 0
+        })
     }
 
     /// Rents for what finds no room.
-    pub(crate) fn rent(&mut self, now: Secs, out: &mut Out) {
-        let early = now - self.hire.office_at < RENT_AFTER_S;
-        if early && (!self.machines.is_empty() || !self.hire.booting.is_empty()) {
+    pub(crate) fn rent(&mut self, now: Secs, out: &mut ActionSink) {
+        let early = now - self.cloud_requests.office_at < RENT_AFTER_S;
+        if early && (!self.machines.is_empty() || !self.cloud_requests.booting.is_empty()) {
             return;
         }
-        if self.hire.renting > 0 || !self.hire.again.is_empty() || self.hire.types.is_empty() {
+        if self.cloud_requests.renting > 0
+            || !self.cloud_requests.again.is_empty()
+            || self.cloud_requests.types.is_empty()
+        {
             return;
         }
         let mut rooms = self.rooms(now, None);
@@ -150,7 +168,7 @@
         let mut lacking: Vec<(JobSpec, u32)> = Vec::new();
         for job in self.waiting_services() {
             let spec = job.spec();
-            let need = Need::of(spec, &self.hire.types);
+            let need = Need::of(spec, &self.cloud_requests.types);
             let n = (0..job.waiting()).take_while(|_| book(spec)).count() as u32;
             lacking.push((spec.clone(), need.lacking(&mut rooms, n)));
         }
@@ -159,12 +177,12 @@
         let mut warm_rooms = rooms.clone();
         self.add_preemptable(now, &mut warm_rooms);
         for (spec, count) in self.warm_wanted(now) {
-            let n = Need::of(&spec, &self.hire.types).lacking(&mut warm_rooms, count);
+            let n = Need::of(&spec, &self.cloud_requests.types).lacking(&mut warm_rooms, count);
             lacking.push((spec, n));
         }
         for job in self.jobs.values().filter(|j| j.spec().kind == Kind::Gang && !j.mistaken()) {
             let spec = job.spec();
-            let need = Need::of(spec, &self.hire.types);
+            let need = Need::of(spec, &self.cloud_requests.types);
             let n = (0..job.waiting()).take_while(|_| book(spec)).count() as u32;
             lacking.push((spec.clone(), need.lacking(&mut rooms, n)));
         }
@@ -181,7 +199,7 @@
         let ceiling = ceiling.max(PLAN_MAX);
         let most = PLAN_MAX.max((all * PLAN_SHARE) as usize).min(ceiling);
         for (spec, count) in lacking {
-            let need = Need::of(&spec, &self.hire.types);
+            let need = Need::of(&spec, &self.cloud_requests.types);
             for left in (1..=count).rev() {
                 if need.take(&mut thought) {
                     continue;
@@ -197,7 +215,7 @@
         }
         self.rent_spare(now, &mut rooms, &mut book, &mut plan);
         let cpus = |kind: &str| {
-            let t = self.hire.types.iter().find(|t| t.name == *kind);
+            let t = self.cloud_requests.types.iter().find(|t| t.name == *kind);
             t.map_or(0.0, |t| t.cpus)
         };
         let planned: f64 = plan.iter().map(|((kind, ..), n)| cpus(kind) * f64::from(*n)).sum();
@@ -232,7 +250,7 @@
         jobs.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.id.cmp(&b.1.id)));
         let mut thought: Vec<Room> = Vec::new();
         for (arrived, spec, waiting, keeps_busy, begun) in jobs {
-            let need = Need::of(&spec, &self.hire.types);
+            let need = Need::of(&spec, &self.cloud_requests.types);
             let n = (0..waiting.min(LAID_OUT_MIN)).take_while(|_| book(&spec)).count() as u32;
             let no_room = need.lacking(rooms, n);
             let none = no_room == n;
@@ -281,7 +299,7 @@
         }
         let shape = of.iter().max_by_key(|(_, n)| **n).and_then(|(id, _)| self.jobs.get(*id));
         let shape = shape.map(|j| j.spec().clone());
-        let seen = &mut self.hire.swap;
+        let seen = &mut self.cloud_requests.swap;
         seen.push_back((now, busy));
         while seen.front().is_some_and(|(at, _)| now - at > SWAP_AFTER_S) {
             seen.pop_front();
@@ -316,7 +334,7 @@
         most: usize,
         plan: &mut BTreeMap<(String, String, bool), u32>,
     ) {
-        let seen = &mut self.hire.backlog;
+        let seen = &mut self.cloud_requests.backlog;
         seen.push_back((now, cpus));
         while seen.front().is_some_and(|(at, _)| now - at > BACKLOG_S) {
             seen.pop_front();
@@ -339,7 +357,7 @@
             return;
         }
         // What is rented now is room from now on; look again when it is there.
-        self.hire.backlog.clear();
+        self.cloud_requests.backlog.clear();
         for _ in 0..most {
             if want <= 0.0 {
                 return;
@@ -398,7 +416,7 @@
         }
         waiting.sort_by(|a, b| a.0.total_cmp(&b.0));
         // The quickest boot that can be had: the quicker kind may be used up.
-        let h = &self.hire;
+        let h = &self.cloud_requests;
         let had = |t: &&MachineType| {
             let none = |z: &String, spot| {
                 let until = h.no_capacity.get(&(t.name.clone(), z.clone(), spot));
@@ -417,7 +435,7 @@
             let spec = job.spec();
             let mut count = 0;
             let unhurried = job.unhurried(now);
-            let need = Need::of(spec, &self.hire.types);
+            let need = Need::of(spec, &self.cloud_requests.types);
             let allowed = |place: &Place| need.allows(*place);
             for _ in 0..job.waiting() {
                 if laid_out >= most || !book(spec) {
@@ -446,20 +464,27 @@
 
     fn place_of(&self, machine: &MachineId) -> Option<Place> {
         let info = &self.machines.get(machine)?.info;
-        let types = &self.hire.types;
+        let types = &self.cloud_requests.types;
         let kind = types.iter().position(|t| t.name == info.kind)?;
         let zone = types[kind].zones.iter().position(|z| *z == info.zone)?;
         Some((kind, zone, info.spot))
     }
 
-    fn send_rent(&mut self, kind: String, zone: String, spot: bool, count: u32, out: &mut Out) {
-        if !self.hire.afford() {
+    fn send_rent(
+        &mut self,
+        kind: String,
+        zone: String,
+        spot: bool,
+        count: u32,
+        out: &mut ActionSink,
+    ) {
+        if !self.cloud_requests.afford() {
             return;
         }
-        self.hire.renting += 1;
-        self.hire.next_request += 1;
+        self.cloud_requests.renting += 1;
+        self.cloud_requests.next_request += 1;
         // Term and counter: no controller ever uses this name again.
-        let request = format!("r-{}-{}", self.term.0, self.hire.next_request);
+        let request = format!("r-{}-{}", self.term.0, self.cloud_requests.next_request);
         self.log.push(|| {
             format!(
                 "event=rent request={request} type={kind} zone={zone} spot={spot} count={count}"
@@ -467,14 +492,14 @@
         });
         let rent = Rent { request, kind, zone, spot, count: count.min(RENT_MAX) };
         let op = out.cloud(CloudRequest::Rent(rent.clone()));
-        self.hire.pending.insert(op, Pending::Rent(rent));
+        self.cloud_requests.pending.insert(op, Pending::Rent(rent));
     }
 
     fn add_preemptable(&self, now: Secs, rooms: &mut [Room]) {
         // `rooms` lists the usable machines first, in the order of `machines`.
         let usable = self.machines.values().filter(|m| {
             m.usable(now, self.facts.report_s)
-                && self.hire.types.iter().any(|t| t.name == m.info.kind)
+                && self.cloud_requests.types.iter().any(|t| t.name == m.info.kind)
         });
         for (m, room) in usable.zip(rooms) {
             for task in m.tasks.difference(&m.freed) {
@@ -502,7 +527,7 @@
         tasks: u32,
         only_spot: bool,
     ) -> Option<(Room, (String, String, bool))> {
-        let h = &mut self.hire;
+        let h = &mut self.cloud_requests;
         h.no_capacity.retain(|_, until| now < *until);
         h.next_zone += 1;
         let mut best: Option<(RentScore, (usize, usize), bool)> = None;
@@ -661,8 +686,8 @@
             direct_most: 200,
             tuning: Tuning::default(),
         };
-        let mut leader = Leader::new(Arc::new(facts), Term(1), 1, 0.0, &mut Out::default());
-        leader.hire.types = vec![MachineType {
+        let mut leader = Leader::new(Arc::new(facts), Term(1), 1, 0.0, &mut ActionSink::default());
+        leader.cloud_requests.types = vec![MachineType {
             name: "k".into(),
             cpus: 16.0,
             gpus: 0.0,
--- a/crates/core/src/recover.rs
+++ b/crates/core/src/recover.rs
@@ -3,7 +3,7 @@
 //! was released, or outlived its lease since we took office.
 
 use crate::consts::{LEAST_BILL_S, STORE_RETRY_S};
-use crate::event::{OpId, Out, Secs, StoreRequest, StoreResult};
+use crate::event::{ActionSink, OpId, Secs, StoreRequest, StoreResult};
 use crate::fleet::Machine;
 use crate::jobs::Job;
 use crate::leader::Leader;
@@ -29,7 +29,7 @@
 }
 
 impl Leader {
-    pub(crate) fn start_loading(&mut self, out: &mut Out) {
+    pub(crate) fn start_loading(&mut self, out: &mut ActionSink) {
         let op = out.store(StoreRequest::Range { prefix: PROGRESS.into(), after: String::new() });
         self.loading = Some(Loading {
             op: Some(op),
@@ -47,11 +47,11 @@
         now: Secs,
         wall_ms: u64,
         replica: &Replica,
-        out: &mut Out,
+        out: &mut ActionSink,
     ) {
         let Some(l) = &mut self.loading else { return };
         if l.complete {
-            return self.take_office(now, wall_ms, replica, out);
+            return self.finish_loading(now, wall_ms, replica, out);
         }
         if l.op.is_none() && now >= l.retry_at {
             let prefix = if l.machines { MACHINES } else { PROGRESS };
@@ -68,7 +68,7 @@
         op: OpId,
         result: StoreResult,
         replica: &Replica,
-        out: &mut Out,
+        out: &mut ActionSink,
     ) {
         let Some(l) = &mut self.loading else { return };
         if l.op != Some(op) {
@@ -95,7 +95,7 @@
     // The copy of the watched keys must have reached our own election: only
     // then does it hold every job accepted before, and what comes later comes
     // as a change.
-    fn take_office(&mut self, now: Secs, wall_ms: u64, replica: &Replica, out: &mut Out) {
+    fn finish_loading(&mut self, now: Secs, wall_ms: u64, replica: &Replica, out: &mut ActionSink) {
         if replica.leader.as_ref().is_none_or(|(_, v)| *v < self.version) {
             return;
         }
@@ -121,7 +121,7 @@
             }
         }
         for (id, job) in &mut self.jobs {
-            job.limbo = job.started.iter().filter(|n| !job.finished.contains(*n)).collect();
+            job.maybe_running = job.started.iter().filter(|n| !job.finished.contains(*n)).collect();
             if job.complete() {
                 self.writer.close(id, now);
             }
@@ -145,7 +145,7 @@
                 m.first_heard = now - LEAST_BILL_S;
                 // Shows the worker our token, so that older orders under way to
                 // it are void and its answer is whole.
-                m.hail = true;
+                m.probe_due = true;
                 self.machines.insert(id, m);
             }
         }
@@ -156,7 +156,7 @@
         self.learn_types();
         self.log.push(|| {
             format!(
-                "event=office term={} jobs={} machines={}",
+                "event=loaded term={} jobs={} machines={}",
                 self.term.0,
                 self.jobs.len(),
                 self.machines.len()
@@ -180,10 +180,10 @@
             .collect();
         let mut freed = 0;
         for (id, job) in &mut self.jobs {
-            if job.limbo.is_empty() || doubtful.iter().any(|m| job.machines.contains(*m)) {
+            if job.maybe_running.is_empty() || doubtful.iter().any(|m| job.machines.contains(*m)) {
                 continue;
             }
-            for n in std::mem::take(&mut job.limbo) {
+            for n in std::mem::take(&mut job.maybe_running) {
                 job.again.insert(n, now);
                 freed += 1;
             }
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -1,7 +1,7 @@
 //! This controller's copy of the watched keys. It may lag: nothing is told a
 //! user, and nothing is decided for good, on its word alone.
 
-use crate::consts::TOLD_MAX;
+use crate::consts::CONFIRMED_CANCELLATIONS_MAX;
 use crate::event::{Secs, WatchContent, WatchNews};
 use ciborium::Value;
 use marblebarrow_proto::cbor::from_value;
@@ -44,7 +44,7 @@
     marked: BTreeMap<JobId, u64>,
     /// Cancellations confirmed to users, by us or by a peer, that the copy is
     /// too old to show, with their revisions.
-    told: BTreeMap<JobId, u64>,
+    confirmed_cancellations: BTreeMap<JobId, u64>,
     /// One of those found no room: until this revision we don't know all.
     overflow: Option<u64>,
     /// Machine types last seen by a leader.
@@ -61,7 +61,8 @@
             WatchContent::Reset(items) => {
                 let before = std::mem::take(self);
                 // What was told users is not forgotten with the copy.
-                (self.synced, self.told, self.overflow) = (true, before.told, before.overflow);
+                (self.synced, self.confirmed_cancellations, self.overflow) =
+                    (true, before.confirmed_cancellations, before.overflow);
                 for item in items {
                     self.put(item.key, &item.value, item.version);
                 }
@@ -75,19 +76,19 @@
         self.current_at = self.current_at.max(news.sent);
         // What the copy is new enough to show, it shows.
         let whole = self.revision;
-        self.told.retain(|_, revision| *revision > whole);
+        self.confirmed_cancellations.retain(|_, revision| *revision > whole);
         self.overflow = self.overflow.filter(|revision| *revision > whole);
         changes
     }
 
     /// Whether a job is known to be cancelled.
     pub fn is_cancelled(&self, id: &JobId) -> bool {
-        self.marked.contains_key(id) || self.told.contains_key(id)
+        self.marked.contains_key(id) || self.confirmed_cancellations.contains_key(id)
     }
 
     /// Jobs known to be cancelled whose tasks may not all be gone yet.
     pub fn cancelled(&self) -> impl Iterator<Item = &JobId> {
-        self.marked.keys().chain(self.told.keys())
+        self.marked.keys().chain(self.confirmed_cancellations.keys())
     }
 
     /// A cancellation was confirmed to a user, or is about to be, at that
@@ -96,17 +97,17 @@
         if revision <= self.revision || self.is_cancelled(id) {
             return false;
         }
-        if self.told.len() >= TOLD_MAX {
+        if self.confirmed_cancellations.len() >= CONFIRMED_CANCELLATIONS_MAX {
             self.overflow = self.overflow.max(Some(revision));
         } else {
-            self.told.insert(id.clone(), revision);
+            self.confirmed_cancellations.insert(id.clone(), revision);
         }
         true
     }
 
     /// Whether we know every cancellation that this controller told a user,
     /// those of its earlier processes included.
-    pub fn whole(&self) -> bool {
+    pub fn is_complete(&self) -> bool {
         self.synced && self.overflow.is_none()
     }
 
@@ -121,7 +122,7 @@
         let from = (after.map_or(Bound::Unbounded, Bound::Excluded), Bound::Unbounded);
         let later = |(_, at): &(&JobId, &u64)| **at > revision;
         let mut jobs: BTreeMap<JobId, u64> = BTreeMap::new();
-        for map in [&self.marked, &self.told] {
+        for map in [&self.marked, &self.confirmed_cancellations] {
             let some = map.range::<JobId, _>(from).filter(later).take(most + 1);
             jobs.extend(some.map(|(id, at)| (id.clone(), *at)));
         }
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -20,7 +20,7 @@
         report: &Report,
         replica: &Replica,
     ) -> Option<Answer> {
-        if self.tombs.contains_key(&report.machine) {
+        if self.released_machines.contains_key(&report.machine) {
             return None;
         }
         let token = self.term.0;
@@ -48,11 +48,11 @@
                 && !m.reborn
                 && m.reached.is_none_or(|at| now - at > WORKER_MARGIN_S)
             {
-                m.hail = true;
+                m.probe_due = true;
             }
             return None;
         }
-        self.absorb(now, report);
+        self.apply_report(now, report);
         self.note_gap(now, report);
         let m = self.machines.get_mut(&report.machine)?;
         if m.lapsed.is_some() {
@@ -96,8 +96,8 @@
     }
 
     /// Takes a report's news, unless a newer message was taken before.
-    pub(crate) fn absorb(&mut self, now: Secs, report: &Report) {
-        if self.tombs.contains_key(&report.machine) {
+    pub(crate) fn apply_report(&mut self, now: Secs, report: &Report) {
+        if self.released_machines.contains_key(&report.machine) {
             return;
         }
         let id = &report.machine;
@@ -114,9 +114,9 @@
                 now,
             )
         });
-        self.hire.heard(now, id);
+        self.cloud_requests.heard(now, id);
         if m.heard.is_none() {
-            m.learn_type(self.hire.types.iter().find(|t| t.name == m.info.kind));
+            m.learn_type(self.cloud_requests.types.iter().find(|t| t.name == m.info.kind));
         }
         if m.lapsed.is_some_and(|s| report.session <= s)
             || (report.session, report.seq) <= (m.session, m.seq)
@@ -169,17 +169,17 @@
             m.confirmed = true;
             m.reached = Some(now);
         }
-        m.hail = m.reached.is_none();
+        m.probe_due = m.reached.is_none();
         m.exited.clear();
         m.strangers.clear();
         let mut listed = BTreeSet::new();
         for entry in &report.tasks {
-            self.absorb_task(now, id, entry, &mut listed);
+            self.apply_task(now, id, entry, &mut listed);
         }
-        self.absorb_absent(now, id, &listed);
+        self.apply_absence(now, id, &listed);
     }
 
-    fn absorb_task(
+    fn apply_task(
         &mut self,
         now: Secs,
         id: &MachineId,
@@ -282,7 +282,7 @@
         let Some(m) = self.machines.get_mut(id) else {
             return;
         };
-        job.limbo.remove(&n);
+        job.maybe_running.remove(&n);
         job.again.remove(&n);
         job.started.insert(n);
         if m.info.number == 0 {
@@ -405,7 +405,7 @@
     }
 
     // What isn't listed is gone, unless its start may still arrive.
-    fn absorb_absent(&mut self, now: Secs, id: &MachineId, listed: &BTreeSet<TaskId>) {
+    fn apply_absence(&mut self, now: Secs, id: &MachineId, listed: &BTreeSet<TaskId>) {
         // A list from before the worker saw our token says nothing of what an
         // earlier leader's orders did to it since.
         let Some(m) = self.machines.get(id).filter(|m| m.confirmed) else {
@@ -449,7 +449,7 @@
             }
         }
         if missed && let Some(m) = self.machines.get_mut(id) {
-            m.hail = true;
+            m.probe_due = true;
         }
     }
 }
--- a/crates/core/src/desk.rs
+++ b/crates/core/src/user_api.rs
@@ -7,7 +7,9 @@
 //! older than one that any controller gave before.
 
 use crate::consts::*;
-use crate::event::{Answer, OpId, Out, ReplyTo, Secs, StoreRequest, StoreResult, UserRequest};
+use crate::event::{
+    ActionSink, Answer, OpId, ReplyTo, Secs, StoreRequest, StoreResult, UserRequest,
+};
 use crate::facts::Facts;
 use crate::replica::Replica;
 use marblebarrow_proto::cbor::{from_value, to_value};
@@ -44,16 +46,16 @@
     Unclear,
 }
 
-/// The desk.
+/// The user_api.
 #[derive(Debug, Default)]
-pub struct Desk {
+pub struct UserApi {
     pending: HashMap<OpId, Pending>,
     polls: VecDeque<(JobId, ReplyTo)>,
     check_running: bool,
     next_check: Secs,
     writes: usize,
-    finals: HashMap<JobId, EndRecord>,
-    finals_order: VecDeque<JobId>,
+    terminal_states: HashMap<JobId, EndRecord>,
+    terminal_order: VecDeque<JobId>,
     /// Cancellations that users are about to be told of, and their revisions.
     confirmed: Vec<(JobId, u64)>,
     /// Done and running tasks of unfinished jobs, for display.
@@ -61,7 +63,7 @@
 }
 
 /// What a request needs to know of its surroundings.
-pub struct Around<'a> {
+pub struct RequestContext<'a> {
     /// Now.
     pub now: Secs,
     /// Time of day, milliseconds since 1970.
@@ -104,39 +106,51 @@
         && spec.image_gb <= t.cache_gb + 1e-9
 }
 
-impl Desk {
+impl UserApi {
     /// A user asks.
-    pub fn ask(&mut self, a: &Around<'_>, to: ReplyTo, req: UserRequest, out: &mut Out) {
+    pub fn ask(
+        &mut self,
+        context: &RequestContext<'_>,
+        to: ReplyTo,
+        req: UserRequest,
+        out: &mut ActionSink,
+    ) {
         match req {
-            UserRequest::Submit(spec) => self.submit(a, to, *spec, out),
-            UserRequest::Poll(id) => self.poll(a, to, id, out),
-            UserRequest::Cancel(id) => self.cancel(a, to, id, out),
+            UserRequest::Submit(spec) => self.submit(context, to, *spec, out),
+            UserRequest::Poll(id) => self.poll(context, to, id, out),
+            UserRequest::Cancel(id) => self.cancel(context, to, id, out),
             UserRequest::Health => {}
         }
     }
 
-    fn submit(&mut self, a: &Around<'_>, to: ReplyTo, spec: JobSpec, out: &mut Out) {
-        if let Some(end) = self.finals.get(&spec.id) {
-            return out.reply(to, Answer::Job(200, final_status(&spec.id, end)));
+    fn submit(
+        &mut self,
+        context: &RequestContext<'_>,
+        to: ReplyTo,
+        spec: JobSpec,
+        out: &mut ActionSink,
+    ) {
+        if let Some(end) = self.terminal_states.get(&spec.id) {
+            return out.reply(to, Answer::Job(200, terminal_status(&spec.id, end)));
         }
-        if a.store_bad || !a.replica.synced {
+        if context.store_bad || !context.replica.synced {
             return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
         }
-        if a.replica.specs.contains_key(&spec.id) {
+        if context.replica.specs.contains_key(&spec.id) {
             // Known: an accepted job is never refused, whatever it says now.
             return self.read_end(spec.id, to, Absent::Open, out);
         }
-        let Some(types) = a.types else {
+        let Some(types) = context.types else {
             return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
         };
-        if let Some(why) = never_runs(&spec, a.facts, types) {
+        if let Some(why) = never_runs(&spec, context.facts, types) {
             return out.reply(to, Answer::NeverRuns(why));
         }
         if self.writes >= USER_WRITES_MAX {
             return out.reply(to, Answer::Full(RETRY_FULL_S));
         }
         let id = spec.id.clone();
-        let record = SpecRecord { spec, at_ms: a.wall_ms };
+        let record = SpecRecord { spec, at_ms: context.wall_ms };
         let txn = Txn {
             conds: vec![
                 Cond { key: spec_key(&id), version: 0 },
@@ -149,32 +163,38 @@
         self.pending.insert(op, Pending::Submit(id, to));
     }
 
-    fn poll(&mut self, a: &Around<'_>, to: ReplyTo, id: JobId, out: &mut Out) {
-        if let Some(end) = self.finals.get(&id) {
-            return out.reply(to, Answer::Job(200, final_status(&id, end)));
+    fn poll(&mut self, context: &RequestContext<'_>, to: ReplyTo, id: JobId, out: &mut ActionSink) {
+        if let Some(end) = self.terminal_states.get(&id) {
+            return out.reply(to, Answer::Job(200, terminal_status(&id, end)));
         }
-        if a.store_bad || !a.replica.synced {
+        if context.store_bad || !context.replica.synced {
             return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
         }
         if self.polls.len() >= POLLS_MAX {
             return out.reply(to, Answer::Full(RETRY_FULL_S));
         }
         self.polls.push_back((id, to));
-        self.check(a, out);
+        self.check(context, out);
     }
 
-    fn cancel(&mut self, a: &Around<'_>, to: ReplyTo, id: JobId, out: &mut Out) {
-        if let Some(end) = self.finals.get(&id) {
-            return out.reply(to, Answer::Job(200, final_status(&id, end)));
+    fn cancel(
+        &mut self,
+        context: &RequestContext<'_>,
+        to: ReplyTo,
+        id: JobId,
+        out: &mut ActionSink,
+    ) {
+        if let Some(end) = self.terminal_states.get(&id) {
+            return out.reply(to, Answer::Job(200, terminal_status(&id, end)));
         }
-        if a.store_bad {
+        if context.store_bad {
             return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
         }
         if self.writes >= USER_WRITES_MAX {
             return out.reply(to, Answer::Full(RETRY_FULL_S));
         }
         self.writes += 1;
-        match a.replica.specs.get(&id) {
+        match context.replica.specs.get(&id) {
             Some((rec, version)) => self.write_cancel(id, to, *version, rec.spec.tasks, out),
             None => {
                 let op = out.store(StoreRequest::Get(spec_key(&id)));
@@ -183,7 +203,14 @@
         }
     }
 
-    fn write_cancel(&mut self, id: JobId, to: ReplyTo, version: u64, tasks: u32, out: &mut Out) {
+    fn write_cancel(
+        &mut self,
+        id: JobId,
+        to: ReplyTo,
+        version: u64,
+        tasks: u32,
+        out: &mut ActionSink,
+    ) {
         let end = EndRecord { cancelled: true, tasks };
         let txn = Txn {
             conds: vec![
@@ -199,28 +226,29 @@
         self.pending.insert(op, Pending::Cancel(id, to, tasks));
     }
 
-    fn read_end(&mut self, id: JobId, to: ReplyTo, absent: Absent, out: &mut Out) {
+    fn read_end(&mut self, id: JobId, to: ReplyTo, absent: Absent, out: &mut ActionSink) {
         let op = out.store(StoreRequest::Get(end_key(&id)));
         self.pending.insert(op, Pending::End(id, to, absent));
     }
 
     /// Steps with time.
-    pub fn tick(&mut self, a: &Around<'_>, out: &mut Out) {
-        self.check(a, out);
+    pub fn tick(&mut self, context: &RequestContext<'_>, out: &mut ActionSink) {
+        self.check(context, out);
     }
 
-    /// When [`Desk::tick`] next has something to do.
+    /// When [`UserApi::tick`] next has something to do.
     pub fn wake(&self) -> Option<Secs> {
         (!self.check_running && !self.polls.is_empty()).then_some(self.next_check)
     }
 
-    fn check(&mut self, a: &Around<'_>, out: &mut Out) {
-        if self.check_running || self.polls.is_empty() || a.now < self.next_check {
+    fn check(&mut self, context: &RequestContext<'_>, out: &mut ActionSink) {
+        if self.check_running || self.polls.is_empty() || context.now < self.next_check {
             return;
         }
-        let nodes = (a.facts.others.len() + 1) as f64;
-        self.next_check = a.now + nodes / (a.facts.store_rps * POLL_CHECK_SHARE).max(0.1);
-        let most = a.facts.store_txn_ops * CONDS_PER_OP;
+        let nodes = (context.facts.others.len() + 1) as f64;
+        self.next_check =
+            context.now + nodes / (context.facts.store_rps * POLL_CHECK_SHARE).max(0.1);
+        let most = context.facts.store_txn_ops * CONDS_PER_OP;
         let mut conds: BTreeMap<String, ()> = BTreeMap::new();
         let mut asked = Vec::new();
         while let Some((id, to)) = self.polls.pop_front() {
@@ -229,7 +257,7 @@
                 break;
             }
             conds.insert(end_key(&id), ());
-            let known = a.replica.specs.contains_key(&id);
+            let known = context.replica.specs.contains_key(&id);
             if !known {
                 conds.insert(spec_key(&id), ());
             }
@@ -242,12 +270,18 @@
     }
 
     /// Whether an answer of the store is for us; if so, takes it.
-    pub fn store(&mut self, a: &Around<'_>, op: OpId, result: &StoreResult, out: &mut Out) -> bool {
+    pub fn store(
+        &mut self,
+        context: &RequestContext<'_>,
+        op: OpId,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) -> bool {
         let Some(pending) = self.pending.remove(&op) else {
             return false;
         };
         match pending {
-            Pending::Check(asked) => self.checked(a, asked, result, out),
+            Pending::Check(asked) => self.checked(context, asked, result, out),
             Pending::Submit(id, to) => {
                 self.writes -= 1;
                 match result {
@@ -282,7 +316,7 @@
                         let end = EndRecord { cancelled: true, tasks };
                         self.confirmed.push((id.clone(), *revision));
                         self.remember(&id, end.clone());
-                        out.reply(to, Answer::Job(200, final_status(&id, &end)));
+                        out.reply(to, Answer::Job(200, terminal_status(&id, &end)));
                     }
                     StoreResult::Conflict(_) => self.read_end(id, to, Absent::Unclear, out),
                     _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
@@ -295,7 +329,7 @@
                             self.confirmed.push((id.clone(), item.version));
                         }
                         self.remember(&id, end.clone());
-                        out.reply(to, Answer::Job(200, final_status(&id, &end)));
+                        out.reply(to, Answer::Job(200, terminal_status(&id, &end)));
                     }
                     Err(_) => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
                 },
@@ -315,16 +349,16 @@
 
     fn checked(
         &mut self,
-        a: &Around<'_>,
+        context: &RequestContext<'_>,
         asked: Vec<(JobId, ReplyTo, bool)>,
         result: &StoreResult,
-        out: &mut Out,
+        out: &mut ActionSink,
     ) {
         self.check_running = false;
         match result {
             StoreResult::Committed(_) => {
                 for (id, to, known) in asked {
-                    if known || a.replica.specs.contains_key(&id) {
+                    if known || context.replica.specs.contains_key(&id) {
                         let status = self.open_status(id);
                         out.reply(to, Answer::Job(200, status));
                     } else {
@@ -343,7 +377,7 @@
                         self.polls.push_back((id, to));
                     }
                 }
-                self.check(a, out);
+                self.check(context, out);
             }
             _ => {
                 for (_, to, _) in asked {
@@ -367,18 +401,18 @@
     /// Keeps a last word that is surely in the store.
     pub fn remember(&mut self, id: &JobId, end: EndRecord) {
         self.progress.remove(id);
-        if self.finals.insert(id.clone(), end).is_none() {
-            self.finals_order.push_back(id.clone());
-            if self.finals_order.len() > FINALS_KEPT
-                && let Some(old) = self.finals_order.pop_front()
+        if self.terminal_states.insert(id.clone(), end).is_none() {
+            self.terminal_order.push_back(id.clone());
+            if self.terminal_order.len() > FINALS_KEPT
+                && let Some(old) = self.terminal_order.pop_front()
             {
-                self.finals.remove(&old);
+                self.terminal_states.remove(&old);
             }
         }
     }
 }
 
-fn final_status(id: &JobId, end: &EndRecord) -> JobStatus {
+fn terminal_status(id: &JobId, end: &EndRecord) -> JobStatus {
     let (stage, done) =
         if end.cancelled { (Stage::Cancelled, 0) } else { (Stage::Done, end.tasks) };
     JobStatus { id: id.clone(), stage, done, running: 0 }
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -3,7 +3,7 @@
 //! applied late changes nothing.
 
 use crate::consts::*;
-use crate::event::{OpId, Out, Secs, StoreRequest, StoreResult};
+use crate::event::{ActionSink, OpId, Secs, StoreRequest, StoreResult};
 use crate::facts::Facts;
 use crate::fleet::Machine;
 use crate::jobs::{Job, Outcome, Phase};
@@ -212,7 +212,7 @@
 
 impl Leader {
     /// Sends the next transaction, if one is due.
-    pub(crate) fn flush(&mut self, now: Secs, replica: &Replica, out: &mut Out) {
+    pub(crate) fn flush(&mut self, now: Secs, replica: &Replica, out: &mut ActionSink) {
         let w = &mut self.writer;
         w.refill(now);
         if w.running.is_some() || w.reading.is_some() || now < w.next {
@@ -349,7 +349,7 @@
             };
             let cancelled = job.cancelled;
             let over = if cancelled {
-                job.live.is_empty() && job.limbo.is_empty()
+                job.live.is_empty() && job.maybe_running.is_empty()
             } else {
                 job.complete()
             };
@@ -379,15 +379,16 @@
     // The machine types, without their moving prices, for controllers that
     // start while the cloud is down.
     fn types_entry(&mut self, replica: &Replica, b: &mut Batch) {
-        let names: String = self.hire.types.iter().map(|t| format!("{} ", t.name)).collect();
-        if self.hire.types.is_empty() || self.writer.types_key == names || b.full() {
+        let names: String =
+            self.cloud_requests.types.iter().map(|t| format!("{} ", t.name)).collect();
+        if self.cloud_requests.types.is_empty() || self.writer.types_key == names || b.full() {
             return;
         }
         self.writer.types_key = names;
-        if replica.types.as_ref().is_some_and(|t| t.len() == self.hire.types.len()) {
+        if replica.types.as_ref().is_some_and(|t| t.len() == self.cloud_requests.types.len()) {
             return;
         }
-        b.put(TYPES.into(), replica.types_version, to_value(&self.hire.types));
+        b.put(TYPES.into(), replica.types_version, to_value(&self.cloud_requests.types));
         b.entries.push(Entry::Types);
     }
 
@@ -397,7 +398,7 @@
         now: Secs,
         op: OpId,
         result: StoreResult,
-        out: &mut Out,
+        out: &mut ActionSink,
     ) -> bool {
         if self.writer.reading == Some(op) {
             self.writer.reading = None;
@@ -510,7 +511,7 @@
         if self.writer.closed.len() > FINALS_KEPT {
             self.writer.closed.pop_front();
         }
-        self.finals.push((id.clone(), EndRecord { cancelled, tasks }));
+        self.terminal_states.push((id.clone(), EndRecord { cancelled, tasks }));
         self.log.push(|| format!(
             "event=closed job={id} cancelled={cancelled} after_s={:.1} due_s={:.1} tasks={tasks} mean_s={:.1} guess_s={:.1} term={}",
             now - job.arrived,
--- a/crates/core/tests/authority.rs
+++ b/crates/core/tests/authority.rs
@@ -103,7 +103,8 @@
     while now < told_at {
         now += 0.1;
         // Others are there.
-        let news = PeerNews::Beat { node: NodeId::new("c1"), store_ok: true, leading: Some(false) };
+        let news =
+            PeerNews::Heartbeat { node: NodeId::new("c1"), store_ok: true, leading: Some(false) };
         node.handle(now, 0, Event::Peer(news));
         node.tick(now, 0);
         serve(&mut node, now, load);
--- a/crates/core/tests/cluster/world.rs
+++ b/crates/core/tests/cluster/world.rs
@@ -521,7 +521,7 @@
             self.deliver();
             self.work();
             for i in 0..NODES {
-                self.turn(i);
+                self.change_leadership(i);
             }
             self.check_known();
             self.check_leader();
@@ -917,7 +917,7 @@
         self.act(n);
     }
 
-    fn turn(&mut self, n: usize) {
+    fn change_leadership(&mut self, n: usize) {
         let now = self.now();
         if self.hosts[n].node.is_none() {
             if self.step < self.hosts[n].back_at {
@@ -1090,7 +1090,7 @@
                         Late::Direct { node: n, boot, op, machine, cmd, answer: !lost },
                     );
                 }
-                Action::Beat { store_ok, leading } => self.peers(n, |_| PeerNews::Beat {
+                Action::Heartbeat { store_ok, leading } => self.peers(n, |_| PeerNews::Heartbeat {
                     node: NodeId::new(&format!("c{n}")),
                     store_ok,
                     leading: Some(leading),
@@ -1106,7 +1106,7 @@
                         after: None,
                     });
                 }
-                Action::ShowProgress(jobs) => self.peers(n, |_| PeerNews::Progress(jobs.clone())),
+                Action::SendProgress(jobs) => self.peers(n, |_| PeerNews::Progress(jobs.clone())),
             }
         }
     }
@@ -1573,7 +1573,7 @@
                         self.kept.push((report.clone(), now));
                     }
                     let late = Late::Report { node, report, sent: now };
-                    // Held back by a cut, and delivered when it ends.
+                    // Leadership back by a cut, and delivered when it ends.
                     if let Late::Report { node, report, sent } = &late
                         && self.step < self.copies.0
                     {
--- a/crates/core/tests/desk.rs
+++ b/crates/core/tests/user_api.rs
@@ -118,7 +118,8 @@
 fn cut_off_alone_it_says_so() {
     let mut node = node();
     let beat = |at: f64, node: &mut Node, ok| {
-        let news = PeerNews::Beat { node: NodeId::new("c1"), store_ok: ok, leading: Some(false) };
+        let news =
+            PeerNews::Heartbeat { node: NodeId::new("c1"), store_ok: ok, leading: Some(false) };
         node.handle(at, 0, Event::Peer(news));
     };
     let health = |at: f64, node: &mut Node| {
--- a/src/main.rs
+++ b/src/main.rs
@@ -61,7 +61,7 @@
         direct = room.direct_threads,
         "event=start"
     );
-    let front = server::Front::new(listener, &inbox, &authority, bounds)?;
+    let front = server::HttpServer::new(listener, &inbox, &authority, bounds)?;
     links::spawn("front", move || front.run())?;
     owner::Owner::new(settings.facts, rx, links, authority, clock).run();
     Ok(())
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -342,11 +342,11 @@
                     self.node.handle(now, 0, event);
                 }
             }
-            Action::Beat { store_ok, leading } => self.links.peers.beat(store_ok, leading),
+            Action::Heartbeat { store_ok, leading } => self.links.peers.beat(store_ok, leading),
             Action::AskPledges { term, revision } => {
                 self.links.peers.ask_pledges(term, revision, now);
             }
-            Action::ShowProgress(jobs) => self.links.peers.show_progress(&jobs),
+            Action::SendProgress(jobs) => self.links.peers.send_progress(&jobs),
         }
     }
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -16,15 +16,15 @@
 use tonic::{Request, Response, Status};
 
 #[derive(Debug, Clone)]
-enum Word {
-    Beat(bool, bool),
+enum PeerMessage {
+    Heartbeat(bool, bool),
     Pledge { term: u64, revision: u64, sent: Secs },
     Progress(Vec<JobProgress>),
 }
 
 /// The way to the other controllers.
 pub struct Peers {
-    tx: mpsc::Sender<Word>,
+    tx: mpsc::Sender<PeerMessage>,
     store_ok: Arc<AtomicBool>,
     leading: Arc<AtomicBool>,
 }
@@ -66,7 +66,7 @@
     }
 
     // A word that finds the queue full is dropped: all are said again.
-    fn say(&self, word: Word) {
+    fn say(&self, word: PeerMessage) {
         let _ = self.tx.try_send(word);
     }
 
@@ -74,16 +74,16 @@
     pub fn beat(&self, store_ok: bool, leading: bool) {
         self.store_ok.store(store_ok, Ordering::Relaxed);
         self.leading.store(leading, Ordering::Relaxed);
-        self.say(Word::Beat(store_ok, leading));
+        self.say(PeerMessage::Heartbeat(store_ok, leading));
     }
 
     /// Asks for pledges; `sent` is when.
     pub fn ask_pledges(&self, term: u64, revision: u64, sent: Secs) {
-        self.say(Word::Pledge { term, revision, sent });
+        self.say(PeerMessage::Pledge { term, revision, sent });
     }
 
     /// Shows progress.
-    pub fn show_progress(&self, jobs: &[(JobId, u32, u32)]) {
+    pub fn send_progress(&self, jobs: &[(JobId, u32, u32)]) {
         let jobs = jobs
             .iter()
             .map(|(id, done, running)| JobProgress {
@@ -92,11 +92,16 @@
                 running: *running,
             })
             .collect();
-        self.say(Word::Progress(jobs));
+        self.say(PeerMessage::Progress(jobs));
     }
 }
 
-async fn speak(node: NodeId, others: Vec<Other>, mut rx: mpsc::Receiver<Word>, inbox: Inbox) {
+async fn speak(
+    node: NodeId,
+    others: Vec<Other>,
+    mut rx: mpsc::Receiver<PeerMessage>,
+    inbox: Inbox,
+) {
     let mut lines = Vec::new();
     for other in others {
         let Ok(endpoint) = Endpoint::from_shared(format!("http://{}", other.endpoint)) else {
@@ -119,17 +124,17 @@
     me: NodeId,
     peer: NodeId,
     channel: Channel,
-    mut rx: mpsc::Receiver<Word>,
+    mut rx: mpsc::Receiver<PeerMessage>,
     inbox: Inbox,
 ) {
     let mut client = PeerClient::new(channel);
     while let Some(word) = rx.recv().await {
         match word {
-            Word::Beat(store_ok, leading) => {
+            PeerMessage::Heartbeat(store_ok, leading) => {
                 let req = BeatRequest { node: me.to_string(), store_ok, leading };
                 if let Ok(reply) = client.beat(req).await {
                     let reply = reply.into_inner();
-                    let news = PeerNews::Beat {
+                    let news = PeerNews::Heartbeat {
                         node: peer.clone(),
                         store_ok: reply.store_ok,
                         leading: Some(reply.leading),
@@ -137,12 +142,12 @@
                     inbox.offer(Message::Event(Event::Peer(news)));
                 }
             }
-            Word::Pledge { term, revision, sent } => {
+            PeerMessage::Pledge { term, revision, sent } => {
                 let node = me.to_string();
                 let first = PledgeRequest { node, term, revision, after: String::new() };
                 ask_pledge(&mut client, &peer, first, sent, &inbox).await;
             }
-            Word::Progress(jobs) => {
+            PeerMessage::Progress(jobs) => {
                 let _ = client.progress(ProgressRequest { term: 0, jobs }).await;
             }
         }
@@ -190,8 +195,11 @@
 impl Peer for Service {
     async fn beat(&self, req: Request<BeatRequest>) -> Result<Response<BeatReply>, Status> {
         let req = req.into_inner();
-        let news =
-            PeerNews::Beat { node: NodeId::new(&req.node), store_ok: req.store_ok, leading: None };
+        let news = PeerNews::Heartbeat {
+            node: NodeId::new(&req.node),
+            store_ok: req.store_ok,
+            leading: None,
+        };
         self.inbox.offer(Message::Event(Event::Peer(news)));
         Ok(Response::new(BeatReply {
             store_ok: self.store_ok.load(Ordering::Relaxed),
--- a/src/server.rs
+++ b/src/server.rs
@@ -106,7 +106,7 @@
 }
 
 /// A request that came, with its connection.
-struct Visit {
+struct PendingRequest {
     place: usize,
     conn: Conn,
     side: Side,
@@ -142,29 +142,29 @@
     }
 
     /// Serves what a connection has to ask, then lets it wait again.
-    fn serve(&self, mut visit: Visit) {
-        if let Some((bytes, close)) = visit.rest.take() {
-            if visit.conn.send(&bytes).is_ok() && !close {
-                self.wait(visit);
+    fn serve(&self, mut pending: PendingRequest) {
+        if let Some((bytes, close)) = pending.rest.take() {
+            if pending.conn.send(&bytes).is_ok() && !close {
+                self.wait(pending);
             } else {
-                self.slots().leave(visit.place);
+                self.slots().leave(pending.place);
             }
             return;
         }
-        let age = visit.since.elapsed();
+        let age = pending.since.elapsed();
         let stale = age > QUEUED_MOST;
-        if self.converse(&mut visit, stale) {
-            self.wait(visit);
+        if self.converse(&mut pending, stale) {
+            self.wait(pending);
         } else {
-            self.slots().leave(visit.place);
+            self.slots().leave(pending.place);
         }
     }
 
     /// One request; whether the connection stays.
-    fn converse(&self, visit: &mut Visit, stale: bool) -> bool {
-        let conn = &mut visit.conn;
-        let side = visit.side;
-        let request = visit.request.take().map_or_else(|| conn.read_request(), Ok);
+    fn converse(&self, pending: &mut PendingRequest, stale: bool) -> bool {
+        let conn = &mut pending.conn;
+        let side = pending.side;
+        let request = pending.request.take().map_or_else(|| conn.read_request(), Ok);
         let (response, close) = match request {
             Ok(req) => {
                 let response = if stale || side == Side::User && self.overfull() {
@@ -185,8 +185,8 @@
         conn.respond(response.status, response.retry_after, &response.body, close).is_ok() && !close
     }
 
-    fn wait(&self, visit: Visit) {
-        let Visit { place, mut conn, side, .. } = visit;
+    fn wait(&self, pending: PendingRequest) {
+        let PendingRequest { place, mut conn, side, .. } = pending;
         conn.rest();
         let fd = conn.fd();
         let mut slots = self.slots();
@@ -270,22 +270,22 @@
 }
 
 /// Serves a worker's request that has come whole, waiting for nothing; otherwise gives
-/// the visit back, for a thread to serve.
+/// the pending back, for a thread to serve.
 fn serve_at_once(
     shared: &Arc<Shared>,
-    reports: &Arc<Pool<Visit>>,
-    mut visit: Visit,
-) -> Option<Visit> {
-    let request = match visit.conn.try_request() {
+    reports: &Arc<Pool<PendingRequest>>,
+    mut pending: PendingRequest,
+) -> Option<PendingRequest> {
+    let request = match pending.conn.try_request() {
         Ok(Some(request)) => request,
         // The poll's word was an old one.
-        Ok(None) if !visit.conn.unread() => {
-            shared.wait(visit);
+        Ok(None) if !pending.conn.unread() => {
+            shared.wait(pending);
             return None;
         }
-        Ok(None) | Err(ReadError::Malformed | ReadError::TooLarge) => return Some(visit),
+        Ok(None) | Err(ReadError::Malformed | ReadError::TooLarge) => return Some(pending),
         Err(_) => {
-            shared.slots().leave(visit.place);
+            shared.slots().leave(pending.place);
             return None;
         }
     };
@@ -297,25 +297,25 @@
         _ => None,
     };
     let Some(ask) = ask else {
-        visit.request = Some(request);
-        return Some(visit);
+        pending.request = Some(request);
+        return Some(pending);
     };
     let (inbox, asked) = (shared.inbox.clone(), Instant::now());
     let (shared, reports) = (shared.clone(), reports.clone());
     let then = move |answer| {
         let r = shared.answered(asked, answer);
-        let close = request.close || shared.crowded(visit.side);
+        let close = request.close || shared.crowded(pending.side);
         let bytes = response(r.status, r.retry_after, &r.body, close);
-        match visit.conn.try_send(&bytes) {
-            Ok(sent) if sent == bytes.len() && !close => shared.wait(visit),
+        match pending.conn.try_send(&bytes) {
+            Ok(sent) if sent == bytes.len() && !close => shared.wait(pending),
             Ok(sent) if sent < bytes.len() => {
                 // It takes no more: a thread waits until it does.
-                visit.rest = Some((bytes[sent..].to_vec(), close));
-                if let Err(visit) = reports.submit(visit) {
-                    shared.slots().leave(visit.place);
+                pending.rest = Some((bytes[sent..].to_vec(), close));
+                if let Err(pending) = reports.submit(pending) {
+                    shared.slots().leave(pending.place);
                 }
             }
-            _ => shared.slots().leave(visit.place),
+            _ => shared.slots().leave(pending.place),
         }
     };
     inbox.ask_then(ask, Box::new(then));
@@ -323,15 +323,15 @@
 }
 
 /// Waits for connections and their requests for ever.
-pub struct Front {
+pub struct HttpServer {
     poll: Poll,
     listener: TcpListener,
     shared: Arc<Shared>,
-    reports: Arc<Pool<Visit>>,
-    users: Arc<Pool<Visit>>,
+    reports: Arc<Pool<PendingRequest>>,
+    users: Arc<Pool<PendingRequest>>,
 }
 
-impl Front {
+impl HttpServer {
     /// A front over a listener that is bound already.
     pub fn new(
         listener: TcpListener,
@@ -461,17 +461,17 @@
             }
         }
         drop(slots);
-        let mut visit =
-            Visit { place, conn, side, since: Instant::now(), request: None, rest: None };
+        let mut pending =
+            PendingRequest { place, conn, side, since: Instant::now(), request: None, rest: None };
         let pool = if side == Side::Worker { &self.reports } else { &self.users };
         if side == Side::Worker {
-            match serve_at_once(&self.shared, &self.reports, visit) {
+            match serve_at_once(&self.shared, &self.reports, pending) {
                 None => return,
-                Some(v) => visit = v,
+                Some(v) => pending = v,
             }
         }
-        if let Err(visit) = pool.submit(visit) {
-            refuse(visit.conn);
+        if let Err(pending) = pool.submit(pending) {
+            refuse(pending.conn);
             self.shared.slots().leave(place);
         }
     }
@@ -518,7 +518,7 @@
         let bounds =
             Bounds { most, user_threads: 2, report_threads: 2, idle: Duration::from_secs(3_600) };
         let front =
-            Front::new(listener, &inbox, &Authority::default(), bounds).expect("front starts");
+            HttpServer::new(listener, &inbox, &Authority::default(), bounds).expect("front starts");
         std::thread::spawn(move || front.run());
         addr
     }
