--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -29,6 +29,17 @@
     pub valid_until: Secs,
 }
 
+/// Until when nobody else can lead.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LeadershipBounds {
+    /// Our term.
+    pub term: u64,
+    /// The lease of the leader key surely lives until then.
+    pub lease_until: Secs,
+    /// Every peer has pledged not to stand until then.
+    pub pledged_until: Secs,
+}
+
 #[derive(Debug)]
 enum Role {
     Follower,
@@ -129,9 +140,13 @@
 
     /// The term in which we may act, and until when nobody else can: while the
     /// grant surely lives, and while every peer's pledge does.
-    pub fn leadership_bounds(&self) -> Option<(u64, Secs, Secs)> {
+    pub fn leadership_bounds(&self) -> Option<LeadershipBounds> {
         let held = self.leadership()?;
-        Some((held.term.0, held.valid_until, self.least_of(&self.pledges)))
+        Some(LeadershipBounds {
+            term: held.term.0,
+            lease_until: held.valid_until,
+            pledged_until: self.least_of(&self.pledges),
+        })
     }
 
     /// When we knew of every cancellation that any peer had confirmed, as the
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -179,6 +179,24 @@
     pub more: bool,
 }
 
+/// How many tasks of a job are done and how many run, for display.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TaskCounts {
+    /// Done.
+    pub done: u32,
+    /// Running.
+    pub running: u32,
+}
+
+/// The leader's figures of a job.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobCounts {
+    /// The job.
+    pub job: JobId,
+    /// Its figures.
+    pub counts: TaskCounts,
+}
+
 /// A word between controllers.
 #[derive(Clone, Debug)]
 pub enum PeerNews {
@@ -214,8 +232,8 @@
         /// Its answer.
         answer: PledgeAnswer,
     },
-    /// The leader's progress figures: job, done, running.
-    Progress(Vec<(JobId, u32, u32)>),
+    /// The leader's figures of jobs that changed.
+    Progress(Vec<JobCounts>),
 }
 
 /// What the core is told.
@@ -275,8 +293,8 @@
         /// Our copy of the store is whole up to here.
         revision: u64,
     },
-    /// Show the peers progress.
-    SendProgress(Vec<(JobId, u32, u32)>),
+    /// Send the peers the figures of jobs that changed.
+    SendProgress(Vec<JobCounts>),
 }
 
 /// Collects actions and names requests.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -5,7 +5,8 @@
 use crate::cloud_requests::CloudRequests;
 use crate::consts::*;
 use crate::event::{
-    ActionSink, Answer, CloudResult, DirectResult, OpId, ReplyTo, Secs, StoreResult,
+    ActionSink, Answer, CloudResult, DirectResult, JobCounts, OpId, ReplyTo, Secs, StoreResult,
+    TaskCounts,
 };
 use crate::facts::Facts;
 use crate::fleet::Machines;
@@ -76,7 +77,7 @@
     pub(crate) terminal_states: Vec<(JobId, EndRecord)>,
     next_progress: Secs,
     progress_rounds: u32,
-    progress_sent: BTreeMap<JobId, (u32, u32)>,
+    progress_sent: BTreeMap<JobId, TaskCounts>,
     /// Lines for the log: what was decided, and why.
     pub log: Log,
 }
@@ -440,7 +441,7 @@
 
     /// How far jobs are, for this controller's own answers and the peers'.
     /// (The leader's users once saw no progress: it was sent to peers only.)
-    pub fn progress_updates(&mut self, now: Secs) -> Vec<(JobId, u32, u32)> {
+    pub fn progress_updates(&mut self, now: Secs) -> Vec<JobCounts> {
         if now < self.next_progress {
             return Vec::new();
         }
@@ -449,19 +450,19 @@
         if self.progress_rounds.is_multiple_of(PROGRESS_ALL_EVERY) {
             self.progress_sent.clear();
         }
-        let mut news = Vec::new();
+        let mut updates = Vec::new();
         for (id, job) in &self.jobs {
             let running = job.live.values().filter(|l| l.phase == Phase::Running).count() as u32;
-            let figures = (job.finished.len(), running);
-            if self.progress_sent.get(id) != Some(&figures) {
-                self.progress_sent.insert(id.clone(), figures);
-                news.push((id.clone(), figures.0, figures.1));
+            let counts = TaskCounts { done: job.finished.len(), running };
+            if self.progress_sent.get(id) != Some(&counts) {
+                self.progress_sent.insert(id.clone(), counts);
+                updates.push(JobCounts { job: id.clone(), counts });
             }
         }
         let gone: BTreeSet<JobId> =
             self.progress_sent.keys().filter(|id| !self.jobs.contains_key(*id)).cloned().collect();
         self.progress_sent.retain(|id, _| !gone.contains(id));
-        news
+        updates
     }
 
     /// Whether workers that reported have all fallen silent at once: then it
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,7 +1,7 @@
 //! One controller: events and time in, actions out.
 
 use crate::consts::*;
-use crate::election::{Election, LeadershipChange};
+use crate::election::{Election, LeadershipBounds, LeadershipChange};
 use crate::event::*;
 use crate::facts::Facts;
 use crate::leader::Leader;
@@ -92,14 +92,16 @@
     /// and then it refused all for longer than those may take. The leader kept
     /// the leases of tasks that it didn't know to be cancelled.)
     pub fn authority(&self) -> Option<(u64, Secs)> {
-        let (term, granted, pledged) = self.election.leadership_bounds()?;
+        let LeadershipBounds { term, lease_until, pledged_until } =
+            self.election.leadership_bounds()?;
         if self.facts.others.is_empty() {
-            return Some((term, granted));
+            return Some((term, lease_until));
         }
         let (known_at, room) = (self.known_at(), self.facts.cancel_room());
         // While the store serves us, its word on what is new may take a while.
-        let granted = granted.min(known_at + self.facts.replica_age_limit());
-        Some((term, granted.max(pledged.min(known_at + room))))
+        let served_until = lease_until.min(known_at + self.facts.replica_age_limit());
+        let refused_until = pledged_until.min(known_at + room);
+        Some((term, served_until.max(refused_until)))
     }
 
     /// Every cancellation confirmed by then is known to us.
@@ -203,10 +205,10 @@
             for (id, end) in l.take_terminal_states() {
                 self.user_api.remember(&id, end);
             }
-            let news = l.progress_updates(now);
-            if !news.is_empty() {
-                self.learn_progress(news.clone());
-                self.out.actions.push(Action::SendProgress(news));
+            let updates = l.progress_updates(now);
+            if !updates.is_empty() {
+                self.learn_progress(updates.clone());
+                self.out.actions.push(Action::SendProgress(updates));
             }
         }
         self.with_user_api(now, wall_ms, |user_api, context, out| user_api.tick(context, out));
@@ -361,12 +363,12 @@
         }
     }
 
-    fn learn_progress(&mut self, jobs: Vec<(JobId, u32, u32)>) {
+    fn learn_progress(&mut self, jobs: Vec<JobCounts>) {
         let specs = &self.replica.specs;
         let known = jobs
             .into_iter()
-            .filter(|(id, ..)| specs.contains_key(id))
-            .map(|(id, done, running)| (id, (done, running)));
+            .filter(|update| specs.contains_key(&update.job))
+            .map(|update| (update.job, update.counts));
         self.user_api.progress.extend(known);
         self.user_api.progress.retain(|id, _| specs.contains_key(id));
     }
--- a/crates/core/src/user_api.rs
+++ b/crates/core/src/user_api.rs
@@ -8,7 +8,7 @@
 
 use crate::consts::*;
 use crate::event::{
-    ActionSink, Answer, OpId, ReplyTo, Secs, StoreRequest, StoreResult, UserRequest,
+    ActionSink, Answer, OpId, ReplyTo, Secs, StoreRequest, StoreResult, TaskCounts, UserRequest,
 };
 use crate::facts::Facts;
 use crate::replica::Replica;
@@ -59,7 +59,7 @@
     /// Cancellations that users are about to be told of, and their revisions.
     confirmed: Vec<(JobId, u64)>,
     /// Done and running tasks of unfinished jobs, for display.
-    pub progress: BTreeMap<JobId, (u32, u32)>,
+    pub progress: BTreeMap<JobId, TaskCounts>,
 }
 
 /// What a request needs to know of its surroundings.
@@ -388,7 +388,7 @@
     }
 
     fn open_status(&self, id: JobId) -> JobStatus {
-        let (done, running) = self.progress.get(&id).copied().unwrap_or((0, 0));
+        let TaskCounts { done, running } = self.progress.get(&id).copied().unwrap_or_default();
         let stage = if running > 0 { Stage::Running } else { Stage::Queued };
         JobStatus { id, stage, done, running }
     }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -3,7 +3,7 @@
 use crate::limits::*;
 use crate::owner::{Inbox, Message};
 use crate::settings::Other;
-use marblebarrow_core::event::{Event, PeerNews, PledgeAnswer, Secs};
+use marblebarrow_core::event::{Event, JobCounts, PeerNews, PledgeAnswer, Secs, TaskCounts};
 use marblebarrow_proto::ids::{JobId, NodeId};
 use marblebarrow_proto::peer::peer_client::PeerClient;
 use marblebarrow_proto::peer::peer_server::{Peer, PeerServer};
@@ -83,13 +83,13 @@
     }
 
     /// Shows progress.
-    pub fn send_progress(&self, jobs: &[(JobId, u32, u32)]) {
-        let jobs = jobs
+    pub fn send_progress(&self, updates: &[JobCounts]) {
+        let jobs = updates
             .iter()
-            .map(|(id, done, running)| JobProgress {
-                job: id.to_string(),
-                done: *done,
-                running: *running,
+            .map(|update| JobProgress {
+                job: update.job.to_string(),
+                done: update.counts.done,
+                running: update.counts.running,
             })
             .collect();
         self.say(PeerMessage::Progress(jobs));
@@ -233,7 +233,10 @@
             .into_inner()
             .jobs
             .into_iter()
-            .map(|j| (JobId::new(&j.job), j.done, j.running))
+            .map(|j| JobCounts {
+                job: JobId::new(&j.job),
+                counts: TaskCounts { done: j.done, running: j.running },
+            })
             .collect();
         self.inbox.offer(Message::Event(Event::Peer(PeerNews::Progress(jobs))));
         Ok(Response::new(ProgressReply {}))
