--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -68,10 +68,10 @@
     print_usage("half of all tasks cancelled", &before, &cluster.usage(), STAGE);
 
     // Arrays in the room that came free: a job of 24 tasks of six seconds every two.
-    let next = Cell::new(0);
+    let next = Cell::new(0_usize);
     measure(&cluster, "and arrays, 12 tasks a second", || {
         let n = next.replace(next.get() + 1);
-        if n % ARRAY_EVERY == 0 {
+        if n.is_multiple_of(ARRAY_EVERY) {
             cluster.submit(&format!("req-{:05}5", n / ARRAY_EVERY), "sweep", 24);
         }
     });
@@ -112,7 +112,8 @@
     println!("{stage}:");
     for now in after {
         let Some(then) = before.iter().find(|u| u.process == now.process) else { continue };
-        let rate = |of: fn(&Usage) -> u64| (of(now) - of(then)) as f64 / span.as_secs_f64();
+        let rate =
+            |of: fn(&Usage) -> u64| of(now).saturating_sub(of(then)) as f64 / span.as_secs_f64();
         println!(
             "  {}{:<7} own {:6.1} ms/s  kernel {:6.1} ms/s  wakeups {:7.1}/s  memory {:6} KB  threads {}",
             now.process,
