--- /dev/null
+++ b/crates/cells/src/inbound.rs
@@ -0,0 +1,130 @@
+//! The target's side: what becomes of an offer. Only durable records answer it.
+
+use crate::capacity::{Amounts, CapacityReport, SenderTerms, needed};
+use crate::message::{CellError, Offer, Sender};
+use marblebarrow_proto::ids::{CellName, JobId};
+use marblebarrow_proto::job::JobSpec;
+use marblebarrow_proto::transfer::{InboundRecord, RefusalReason, TransferId};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What the target knows of an offered job.
+#[derive(Debug)]
+pub struct TargetView<'a> {
+    /// The record of a job of that id accepted from another cell.
+    pub inbound: Option<&'a InboundRecord>,
+    /// A job of that id is known here, whose or whencesoever.
+    pub id_known: bool,
+    /// It could run here at all.
+    pub suitable: bool,
+    /// The cell's room now.
+    pub room: &'a CapacityReport,
+}
+
+/// What to do about an offer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// It was accepted: say so.
+    Accepted,
+    /// Record the job, then say so.
+    Accept,
+    /// Record the refusal, then say so.
+    Refuse(RefusalReason),
+    /// Its record is under way.
+    Busy,
+}
+
+/// Offers under way and guests that wait for their first start.
+#[derive(Debug)]
+pub struct Inbound {
+    cell: CellName,
+    known: BTreeSet<CellName>,
+    terms: SenderTerms,
+    recording: BTreeSet<TransferId>,
+    recording_max: usize,
+    /// Room promised to guests that haven't begun.
+    promised: BTreeMap<JobId, Promise>,
+}
+
+/// Room promised to a job.
+#[derive(Debug)]
+struct Promise {
+    transfer: TransferId,
+    amounts: Amounts,
+}
+
+impl Inbound {
+    /// Nothing under way.
+    pub fn new(cell: CellName, known: BTreeSet<CellName>, recording_max: usize) -> Self {
+        Self {
+            cell,
+            known,
+            terms: SenderTerms::default(),
+            recording: BTreeSet::new(),
+            recording_max,
+            promised: BTreeMap::new(),
+        }
+    }
+
+    /// Whether a sender is to be heard.
+    pub fn admit(&mut self, sender: &Sender) -> Result<(), CellError> {
+        self.terms.admit(&sender.cell, sender.term, &self.known)
+    }
+
+    /// Decides on an offer of a sender that was admitted.
+    pub fn decide(&self, offer: &Offer, view: &TargetView<'_>) -> Result<Decision, CellError> {
+        if offer.transfer.home == self.cell {
+            return Err(CellError::HomeHere);
+        }
+        if offer.transfer.home != offer.sender.cell || offer.transfer.term > offer.sender.term {
+            return Err(CellError::Malformed);
+        }
+        if view.inbound.is_some_and(|record| record.transfer == offer.transfer) {
+            return Ok(Decision::Accepted);
+        }
+        let full = self.recording.len() >= self.recording_max;
+        if full || self.recording.contains(&offer.transfer) {
+            return Ok(Decision::Busy);
+        }
+        let reason = if offer.withdraw {
+            RefusalReason::Withdrawn
+        } else if view.id_known || view.inbound.is_some() {
+            RefusalReason::IdInUse
+        } else if !view.suitable {
+            RefusalReason::Unsuitable
+        } else if !view.room.has_room(&offer.spec, &self.promised_in_all()) {
+            RefusalReason::NoRoom
+        } else {
+            return Ok(Decision::Accept);
+        };
+        Ok(Decision::Refuse(reason))
+    }
+
+    /// A record about a transfer is being written.
+    pub fn recording(&mut self, transfer: &TransferId) {
+        self.recording.insert(transfer.clone());
+    }
+
+    /// It was written, or not.
+    pub fn recorded(&mut self, transfer: &TransferId) {
+        self.recording.remove(transfer);
+    }
+
+    /// Room is promised to a job from now until it begins.
+    pub fn promise(&mut self, spec: &JobSpec, transfer: &TransferId) {
+        let promise = Promise { transfer: transfer.clone(), amounts: needed(spec) };
+        self.promised.insert(spec.id.clone(), promise);
+    }
+
+    /// Keeps the promises to jobs that are being recorded or wait for their first start.
+    pub fn keep_promises(&mut self, waits: impl Fn(&JobId) -> bool) {
+        let recording = &self.recording;
+        self.promised.retain(|job, promise| recording.contains(&promise.transfer) || waits(job));
+    }
+
+    /// All room promised.
+    pub fn promised_in_all(&self) -> Amounts {
+        let mut all = Amounts::default();
+        self.promised.values().for_each(|promise| all.add(&promise.amounts));
+        all
+    }
+}
--- /dev/null
+++ b/crates/core/src/cells/home.rs
@@ -0,0 +1,528 @@
+//! Jobs of this cell that move to others.
+
+use super::{Call, Pending, Retry, cond, put};
+use crate::cells::Cells;
+use crate::consts::STORE_RETRY_S;
+use crate::event::{Action, ActionSink, OpId, Secs, StoreRequest, StoreResult, TaskCounts};
+use crate::jobs::Job;
+use crate::leader::Leader;
+use crate::replica::Replica;
+use marblebarrow_cells::choice::Choice;
+use marblebarrow_cells::message::{
+    CellError, CellReply, CellRequest, Exchange, ExchangeReply, GuestState, Offer, Sender,
+};
+use marblebarrow_cells::outbound::{DueOffer, REFUSALS_MAX, Settlement, finished_for};
+use marblebarrow_proto::cbor::from_value;
+use marblebarrow_proto::ids::{CellName, JobId};
+use marblebarrow_proto::job::JobSpec;
+use marblebarrow_proto::records::{EndRecord, SpecRecord, end_key, progress_key, spec_key};
+use marblebarrow_proto::transfer::{
+    AcknowledgeRecord, ForwardRecord, acknowledge_key, cancel_wanted_key,
+};
+use marblebarrow_proto::wire::{Txn, Write};
+use std::sync::Arc;
+
+/// Seconds between two looks for jobs that may move: they wait for many more already.
+const LOOK_EVERY_S: f64 = 0.5;
+/// Seconds between two rounds in which records of no more use are dropped.
+const DROP_EVERY_S: f64 = 1.0;
+/// Changes of the store that the intent of a transfer and its settlement take.
+const INTENT_CHANGES: f64 = 1.0;
+/// Changes that the end of a job elsewhere takes.
+const FINISH_CHANGES: f64 = 4.0;
+
+impl Leader {
+    /// A job's record may say that it is elsewhere.
+    pub(crate) fn learn_forward(&mut self, now: Secs, id: &JobId) {
+        let (Some(cells), Some(job)) = (&mut self.cells, self.jobs.get_mut(id)) else { return };
+        let forward = job.record.forward.as_ref();
+        job.away = forward.is_some();
+        cells.outbound.learn(now, &job.record.spec, forward);
+    }
+
+    /// The record of a job known already was changed.
+    pub(crate) fn learn_record(&mut self, now: Secs, record: &Arc<SpecRecord>, version: u64) {
+        let id = record.spec.id.clone();
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if version <= job.spec_version {
+            return;
+        }
+        job.spec_version = version;
+        job.record = record.clone();
+        self.learn_forward(now, &id);
+        self.place_due = true;
+    }
+
+    /// Tasks of a job that is elsewhere.
+    pub(crate) fn counts_elsewhere(&self, id: &JobId) -> Option<TaskCounts> {
+        let open = self.cells.as_ref()?.outbound.get(id)?;
+        let (done, running) = open.counts;
+        open.record.accepted.then_some(TaskCounts { done, running })
+    }
+
+    /// Records the intent to transfer jobs that have waited long enough and that renting
+    /// can't help.
+    pub(super) fn offer_waiting_jobs(
+        &mut self,
+        now: Secs,
+        replica: &Replica,
+        out: &mut ActionSink,
+    ) {
+        let Some(cells) = &mut self.cells else { return };
+        if now < cells.next_look || self.recovering {
+            return;
+        }
+        cells.next_look = now + LOOK_EVERY_S;
+        let intents = |p: &&Pending| matches!(p, Pending::Intent { .. });
+        let under_way = cells.outbound.in_doubt() + cells.pending.values().filter(intents).count();
+        let most = cells.settings.transfers_max.saturating_sub(under_way);
+        let mut waiting: Vec<(Secs, JobId)> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| self.may_move(now, job))
+            .map(|(id, job)| (job.arrived, id.clone()))
+            .collect();
+        waiting.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        for (_, id) in waiting.into_iter().take(most) {
+            if !self.begin_transfer(now, &id, replica, out) {
+                break;
+            }
+        }
+    }
+
+    /// Whether a job may move, and is no better off here.
+    fn may_move(&self, now: Secs, job: &Job) -> bool {
+        let Some(cells) = &self.cells else { return false };
+        let never_started = job.started.is_empty()
+            && job.live.is_empty()
+            && job.maybe_running.is_empty()
+            && job.parts.iter().all(|version| *version == 0);
+        never_started
+            && !job.away
+            && !job.cancelled
+            && !job.closing
+            && job.record.origin.is_none()
+            && job.record.refusals < REFUSALS_MAX
+            && now - job.arrived > cells.settings.patience_s
+            && self.team_has_room(job.spec())
+            && !self.renting_helps(now, job.spec())
+    }
+
+    /// Whether the team's limit here allows a task more: what waits for that isn't short of
+    /// machines, and must not evade it elsewhere.
+    pub(super) fn team_has_room(&self, spec: &JobSpec) -> bool {
+        let Some(team) = self.facts.teams.iter().find(|team| team.name == spec.team) else {
+            return false;
+        };
+        let used = self.team_usage().get(&spec.team).copied().unwrap_or_default();
+        let over = |have: f64, more: f64, limit: f64| limit > 0.0 && have + more > limit + 1e-9;
+        !over(used[0], spec.cpus, team.cpus_max) && !over(used[1], spec.gpus, team.gpus_max)
+    }
+
+    /// Chooses a cell and records the intent; false: no cell or no change can be had now.
+    fn begin_transfer(
+        &mut self,
+        now: Secs,
+        id: &JobId,
+        replica: &Replica,
+        out: &mut ActionSink,
+    ) -> bool {
+        let Some(record) = self.jobs.get(id).map(|job| job.record.clone()) else { return true };
+        let Some(target) = self.choose_cell(now, &record.spec, replica) else { return true };
+        if !self.writer.afford(INTENT_CHANGES) {
+            return false;
+        }
+        let (Some(cells), Some(job)) = (&mut self.cells, self.jobs.get_mut(id)) else {
+            return false;
+        };
+        let transfer = cells.outbound.new_transfer(&cells.settings.name, self.term.0);
+        self.log.push(|| format!("event=transfer job={id} target={target} transfer={transfer}"));
+        let mut intended = SpecRecord::clone(&record);
+        intended.forward = Some(ForwardRecord { transfer, target, accepted: false });
+        // Nothing of it starts from now on, whatever becomes of the transaction.
+        job.away = true;
+        let conds = vec![
+            cond(spec_key(id), job.spec_version),
+            cond(end_key(id), 0),
+            cond(progress_key(id, 0), 0),
+        ];
+        let txn = Txn { conds, writes: vec![put(spec_key(id), &intended)] };
+        let (job, record) = (id.clone(), Box::new(intended));
+        self.commit_for_cells(txn, |txn| Pending::Intent { job, txn, record }, out);
+        true
+    }
+
+    fn choose_cell(&mut self, now: Secs, spec: &JobSpec, replica: &Replica) -> Option<CellName> {
+        let cells = self.cells.as_ref()?;
+        let others = cells.settings.others.iter().map(|other| other.name.clone());
+        let names: Vec<CellName> =
+            others.filter(|name| !replica.lost_cells.contains(name)).collect();
+        let choice = Choice {
+            cells: &names,
+            book: &cells.book,
+            promised: &cells.outbound.promised(),
+            now,
+            report_age_s: cells.settings.report_age_s,
+            policy: cells.policy.as_ref(),
+        };
+        let chosen = choice.choose(spec, &mut self.rng)?;
+        if let Some(error) = &chosen.policy_error {
+            self.log.push(|| format!("event=policy_failed job={} why=\"{error}\"", spec.id));
+        }
+        Some(chosen.cell)
+    }
+
+    /// The outcome of an intent. One that is not known is found out by repeating it: its
+    /// conditions let it take effect once at most.
+    pub(super) fn intent_written(
+        &mut self,
+        now: Secs,
+        job: JobId,
+        txn: Txn,
+        record: Box<SpecRecord>,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        match result {
+            StoreResult::Committed(version) => self.learn_record(now, &Arc::new(*record), *version),
+            StoreResult::Conflict(_) | StoreResult::Rejected => self.read_again(job, out),
+            _ => self.retry_later(now, Retry::Intent { job, txn, record }),
+        }
+    }
+
+    fn retry_later(&mut self, now: Secs, retry: Retry) {
+        if let Some(cells) = &mut self.cells {
+            cells.retries.push((now + STORE_RETRY_S, retry));
+        }
+    }
+
+    /// Asks the store again for what is due.
+    pub(super) fn retry_store(&mut self, now: Secs, out: &mut ActionSink) {
+        let Some(cells) = &mut self.cells else { return };
+        for (_, retry) in cells.retries.extract_if(.., |(at, _)| now >= *at) {
+            let (request, pending) = match retry {
+                Retry::Intent { job, txn, record } => {
+                    (StoreRequest::Commit(txn.clone()), Pending::Intent { job, txn, record })
+                }
+                Retry::Reread(job) => (StoreRequest::Get(spec_key(&job)), Pending::Reread { job }),
+                Retry::ReadEnd(job) => (StoreRequest::Get(end_key(&job)), Pending::ReadEnd { job }),
+            };
+            cells.pending.insert(out.store(request), pending);
+        }
+    }
+
+    fn read_again(&mut self, job: JobId, out: &mut ActionSink) {
+        let Some(cells) = &mut self.cells else { return };
+        let op = out.store(StoreRequest::Get(spec_key(&job)));
+        cells.pending.insert(op, Pending::Reread { job });
+    }
+
+    /// A job's record as the store has it now.
+    pub(super) fn reread(
+        &mut self,
+        now: Secs,
+        job: JobId,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        match result {
+            StoreResult::Value(Some(item)) => {
+                if let Ok(record) = from_value::<SpecRecord>(&item.value) {
+                    self.learn_record(now, &Arc::new(record), item.version);
+                }
+                // As it was: what was tried didn't happen, and never will, as whatever made
+                // it fail is there for good.
+                self.learn_forward(now, &job);
+                if let Some(cells) = &mut self.cells {
+                    cells.outbound.settle_again(now, &job);
+                }
+            }
+            // Over. The end of what was here is the writer's.
+            StoreResult::Value(None) => {
+                let away = self.jobs.get(&job).is_some_and(|j| j.record.forward.is_some());
+                if let Some(cells) = self.cells.as_mut().filter(|_| away) {
+                    let op = out.store(StoreRequest::Get(end_key(&job)));
+                    cells.pending.insert(op, Pending::ReadEnd { job });
+                }
+            }
+            _ => self.retry_later(now, Retry::Reread(job)),
+        }
+    }
+
+    /// The end of a job that was elsewhere, as the store has it.
+    pub(super) fn end_read(&mut self, now: Secs, job: JobId, result: &StoreResult) {
+        let end = match result {
+            StoreResult::Value(Some(item)) => from_value::<EndRecord>(&item.value).ok(),
+            _ => None,
+        };
+        match end {
+            Some(end) => self.closed_elsewhere(now, &job, end.cancelled, end.tasks),
+            None => self.retry_later(now, Retry::ReadEnd(job)),
+        }
+    }
+
+    fn closed_elsewhere(&mut self, now: Secs, job: &JobId, cancelled: bool, tasks: u32) {
+        if let Some(cells) = &mut self.cells {
+            cells.outbound.forget(job);
+        }
+        self.closed(now, job, cancelled, tasks);
+    }
+
+    /// Sends the offers that are due.
+    pub(super) fn send_offers(
+        &mut self,
+        now: Secs,
+        wall_ms: u64,
+        replica: &Replica,
+        out: &mut ActionSink,
+    ) {
+        let Some(cells) = &mut self.cells else { return };
+        let calling = cells.calls.values().filter(|c| matches!(c, Call::Offer { .. })).count();
+        let most = cells.settings.transfers_max.saturating_sub(calling);
+        for DueOffer { job, transfer, target } in cells.outbound.due_offers(now, most) {
+            let Some(record) = self.jobs.get(&job).map(|j| j.record.clone()) else { continue };
+            let offer = Offer {
+                sender: Sender { cell: cells.settings.name.clone(), term: self.term.0 },
+                transfer: transfer.clone(),
+                spec: record.spec.clone(),
+                at_ms: record.at_ms.min(wall_ms),
+                withdraw: replica.cancel_wanted.contains(&job),
+            };
+            cells.counts.offers_sent += 1;
+            let request = Box::new(CellRequest::Offer(Box::new(offer)));
+            let op = out.op();
+            cells.calls.insert(op, Call::Offer { job, transfer });
+            out.actions.push(Action::CellCall { op, cell: target, request });
+        }
+    }
+
+    /// Asks each other cell for its room and for the jobs that are there.
+    pub(super) fn send_exchanges(&mut self, now: Secs, replica: &Replica, out: &mut ActionSink) {
+        let Some(cells) = &mut self.cells else { return };
+        let names: Vec<CellName> =
+            cells.settings.others.iter().map(|other| other.name.clone()).collect();
+        for cell in names {
+            if replica.lost_cells.contains(&cell) || !cells.outbound.exchange_due(now, &cell) {
+                continue;
+            }
+            let exchange = Exchange {
+                sender: Sender { cell: cells.settings.name.clone(), term: self.term.0 },
+                tracked: cells.outbound.tracked(&cell, &replica.cancel_wanted),
+                finished: finished_for(
+                    &cell,
+                    replica.acknowledge.iter().map(|(job, (record, _))| (job, record)),
+                ),
+            };
+            let request = Box::new(CellRequest::Exchange(exchange));
+            let op = out.op();
+            cells.calls.insert(op, Call::Exchange { cell: cell.clone(), sent: now });
+            out.actions.push(Action::CellCall { op, cell, request });
+        }
+    }
+
+    /// Another cell answered, or didn't.
+    pub(crate) fn cell_answered(
+        &mut self,
+        now: Secs,
+        op: OpId,
+        answer: Result<Box<CellReply>, CellError>,
+        replica: &Replica,
+        out: &mut ActionSink,
+    ) {
+        let Some(cells) = &mut self.cells else { return };
+        match (cells.calls.remove(&op), answer.map(|reply| *reply)) {
+            (Some(Call::Offer { job, transfer }), answer) => {
+                let reply = match answer {
+                    Ok(CellReply::Offer(reply)) => Some(reply),
+                    _ => None,
+                };
+                let settled = cells.outbound.offer_answered(now, &job, &transfer, reply.as_ref());
+                if let Some(settlement) = settled {
+                    self.settle(&settlement, out);
+                }
+            }
+            (Some(Call::Exchange { cell, sent }), answer) => {
+                cells.outbound.exchange_answered(&cell);
+                if let Ok(CellReply::Exchange(reply)) = answer {
+                    self.exchanged(now, &cell, sent, reply, replica, out);
+                }
+            }
+            (None, _) => {}
+        }
+    }
+
+    /// Makes a cell's word on an offer durable.
+    fn settle(&mut self, settlement: &Settlement, out: &mut ActionSink) {
+        let (Settlement::Accepted(id) | Settlement::Refused(id, _)) = settlement;
+        let Some(job) = self.jobs.get(id) else { return };
+        let mut record = SpecRecord::clone(&job.record);
+        match settlement {
+            Settlement::Accepted(_) => {
+                if let Some(forward) = &mut record.forward {
+                    forward.accepted = true;
+                }
+            }
+            Settlement::Refused(_, reason) => {
+                self.log.push(|| format!("event=transfer_refused job={id} why={reason:?}"));
+                record.forward = None;
+                record.refusals += 1;
+                if let Some(cells) = &mut self.cells {
+                    cells.counts.refusals_received += 1;
+                }
+            }
+        }
+        self.write_settlement(id, record, out);
+    }
+
+    fn write_settlement(&mut self, id: &JobId, record: SpecRecord, out: &mut ActionSink) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let mut writes = vec![put(spec_key(id), &record)];
+        if record.forward.is_none() {
+            // The user asks again, and is answered here then.
+            writes.push(Write::Delete { key: cancel_wanted_key(id) });
+        }
+        let txn = Txn { conds: vec![cond(spec_key(id), job.spec_version)], writes };
+        let (job, record) = (id.clone(), Box::new(record));
+        self.commit_for_cells(txn, |_| Pending::Settle { job, record }, out);
+    }
+
+    /// A settlement was made durable, or not: then the cell is asked again, and says the same.
+    pub(super) fn settled(
+        &mut self,
+        now: Secs,
+        job: JobId,
+        record: SpecRecord,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        match result {
+            StoreResult::Committed(version) => self.learn_record(now, &Arc::new(record), *version),
+            StoreResult::Refused => self.settle_later(now, &job),
+            _ => self.read_again(job, out),
+        }
+    }
+
+    fn settle_later(&mut self, now: Secs, job: &JobId) {
+        if let Some(cells) = &mut self.cells {
+            cells.outbound.settle_again(now + STORE_RETRY_S, job);
+        }
+    }
+
+    fn exchanged(
+        &mut self,
+        now: Secs,
+        cell: &CellName,
+        sent: Secs,
+        reply: ExchangeReply,
+        replica: &Replica,
+        out: &mut ActionSink,
+    ) {
+        let Some(cells) = &mut self.cells else { return };
+        cells.book.take(cell, reply.capacity, sent);
+        let mut over = Vec::new();
+        for status in reply.statuses {
+            let end = cells.outbound.status(cell, &status.job, &status.transfer, status.state);
+            over.extend(end.map(|end| (status.job, end)));
+        }
+        for (job, end) in over {
+            self.finish_elsewhere(now, &job, end, out);
+        }
+        let drops: Vec<(JobId, u64)> = reply
+            .dropped
+            .into_iter()
+            .filter_map(|job| {
+                let (record, version) = replica.acknowledge.get(&job)?;
+                (record.target == *cell).then_some((job, *version))
+            })
+            .collect();
+        for (job, version) in drops {
+            self.drop_record(acknowledge_key(&job), version, out);
+        }
+    }
+
+    /// Drops a record of no more use, if the store's rate allows it; else with a later
+    /// exchange.
+    pub(super) fn drop_record(&mut self, key: String, version: u64, out: &mut ActionSink) {
+        if !self.writer.afford(INTENT_CHANGES) {
+            return;
+        }
+        let conds = vec![cond(key.clone(), version)];
+        let txn = Txn { conds, writes: vec![Write::Delete { key }] };
+        self.commit_for_cells(txn, |_| Pending::Drop, out);
+    }
+
+    /// A job that is elsewhere is over there, durably: so it becomes here, before anybody is
+    /// told.
+    fn finish_elsewhere(&mut self, now: Secs, id: &JobId, end: GuestState, out: &mut ActionSink) {
+        let forward = self.jobs.get(id).and_then(|job| job.record.forward.clone());
+        let (Some(forward), Some(job)) = (forward, self.jobs.get(id)) else { return };
+        let (version, tasks) = (job.spec_version, job.spec().tasks);
+        if !self.writer.afford(FINISH_CHANGES) {
+            return self.settle_later(now, id);
+        }
+        let cancelled = end == GuestState::Cancelled;
+        let acknowledge = AcknowledgeRecord { transfer: forward.transfer, target: forward.target };
+        let txn = Txn {
+            conds: vec![cond(spec_key(id), version), cond(end_key(id), 0)],
+            writes: vec![
+                put(end_key(id), &EndRecord { cancelled, tasks }),
+                put(acknowledge_key(id), &acknowledge),
+                Write::Delete { key: spec_key(id) },
+                Write::Delete { key: cancel_wanted_key(id) },
+            ],
+        };
+        let job = id.clone();
+        self.commit_for_cells(txn, |_| Pending::Finish { job, cancelled, tasks }, out);
+    }
+
+    /// The end of a job that was elsewhere is durable here, or not yet.
+    pub(super) fn finish_written(
+        &mut self,
+        now: Secs,
+        job: JobId,
+        cancelled: bool,
+        tasks: u32,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        match result {
+            StoreResult::Committed(_) => self.closed_elsewhere(now, &job, cancelled, tasks),
+            StoreResult::Refused => self.settle_later(now, &job),
+            // Perhaps it is there already.
+            _ => self.read_again(job, out),
+        }
+    }
+
+    /// Jobs with a cell that an operator declared lost come home.
+    pub(super) fn take_back_from_lost(&mut self, replica: &Replica, out: &mut ActionSink) {
+        let Some(cells) = &mut self.cells else { return };
+        if replica.lost_cells.is_empty() {
+            return;
+        }
+        let lost: Vec<JobId> = cells
+            .outbound
+            .iter()
+            .filter(|(_, open)| replica.lost_cells.contains(&open.record.target))
+            .map(|(job, _)| job.clone())
+            .collect();
+        for id in lost {
+            let free = self.cells.as_mut().is_some_and(|cells| cells.outbound.begin_settling(&id));
+            let Some(job) = self.jobs.get(&id).filter(|_| free) else { continue };
+            let mut record = SpecRecord::clone(&job.record);
+            record.forward = None;
+            self.log.push(|| format!("event=taken_back job={id}"));
+            self.write_settlement(&id, record, out);
+        }
+    }
+}
+
+impl Cells {
+    /// Whether it is time to drop records of no more use.
+    pub(super) fn drop_due(&mut self, now: Secs) -> bool {
+        let due = now >= self.next_drop;
+        if due {
+            self.next_drop = now + DROP_EVERY_S;
+        }
+        due
+    }
+}
--- /dev/null
+++ b/crates/core/src/cells/room.rs
@@ -0,0 +1,151 @@
+//! What room this cell has, for its own decisions and for others' eyes.
+
+use crate::cells::Cells;
+use crate::event::Secs;
+use crate::leader::Leader;
+use marblebarrow_cells::capacity::{Amounts, CapacityReport, REPORT_ITEMS_MAX, Room};
+use marblebarrow_proto::job::JobSpec;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A report is made anew after this, seconds: it looks at all machines and jobs.
+const REPORT_EVERY_S: f64 = 0.5;
+/// Machines of a type and zone that count as rentable while none was refused lately: what
+/// the cloud has shows only when it is asked.
+const RENTABLE: u32 = 8;
+/// Work of the cell's own that waits for longer than this, seconds, is a backlog: a place
+/// is found within half a second where there is room.
+const BACKLOG_AGE_S: f64 = 2.0;
+
+impl Leader {
+    /// Whether machines that the job may use come up, or can probably be rented.
+    pub(super) fn renting_helps(&self, now: Secs, spec: &JobSpec) -> bool {
+        let cloud = &self.cloud_requests;
+        let allowed = |kind: &str, zone: &str, spot: bool| {
+            (spec.spot || !spot)
+                && spec.zone.as_ref().is_none_or(|z| z == zone)
+                && spec.types.as_ref().is_none_or(|types| types.iter().any(|t| t == kind))
+        };
+        let booting = cloud.booting.values().any(|b| allowed(&b.kind, &b.zone, b.spot));
+        let had = |kind: &String, zone: &String, spot: bool| {
+            let place = (kind.clone(), zone.clone(), spot);
+            cloud.no_capacity.get(&place).is_none_or(|until| now >= *until)
+        };
+        let holds =
+            |t: &marblebarrow_proto::wire::MachineType| crate::user_api::type_allows(spec, t);
+        booting
+            || cloud.types.iter().filter(|t| holds(t)).any(|t| {
+                t.zones.iter().any(|zone| {
+                    [true, false]
+                        .into_iter()
+                        .any(|spot| allowed(&t.name, zone, spot) && had(&t.name, zone, spot))
+                })
+            })
+    }
+
+    /// The cell's room now, promises to guests not taken off.
+    pub(super) fn room(&mut self, now: Secs) -> CapacityReport {
+        let last = self.cells.as_ref().and_then(|cells| cells.report.as_ref());
+        if let Some((at, report)) = last
+            && now - at < REPORT_EVERY_S
+        {
+            return report.clone();
+        }
+        let (rooms, images) = self.room_by_kind(now);
+        let backlog = self.own_backlog(now);
+        let mut report = CapacityReport {
+            term: self.term.0,
+            sequence: 0,
+            backlog,
+            rooms,
+            teams: self.facts.teams.iter().map(|team| team.name.clone()).collect(),
+            images: images.into_iter().take(REPORT_ITEMS_MAX).collect(),
+        };
+        if let Some(cells) = &mut self.cells {
+            cells.sequence += 1;
+            report.sequence = cells.sequence;
+            hold_back(&mut report.rooms, cells.settings.reserve_cpus);
+            cells.report = Some((now, report.clone()));
+        }
+        report
+    }
+
+    /// The same for other cells: what is promised is taken off.
+    pub(super) fn room_for_others(&mut self, now: Secs) -> CapacityReport {
+        let mut report = self.room(now);
+        if let Some(cells) = &mut self.cells {
+            hold_back(&mut report.rooms, cells.inbound.promised_in_all().cpus);
+        }
+        report
+    }
+
+    fn room_by_kind(&self, now: Secs) -> (Vec<Room>, BTreeSet<String>) {
+        let mut images = BTreeSet::new();
+        let mut rooms: BTreeMap<(String, String, bool), Room> = BTreeMap::new();
+        let cloud = &self.cloud_requests;
+        for machine_type in &cloud.types {
+            let machine = Amounts {
+                cpus: machine_type.cpus,
+                gpus: machine_type.gpus,
+                memory_gb: machine_type.memory_gb,
+            };
+            for (zone, spot) in machine_type.zones.iter().flat_map(|z| [(z, true), (z, false)]) {
+                let place = (machine_type.name.clone(), zone.clone(), spot);
+                let refused = cloud.no_capacity.get(&place).is_some_and(|until| now < *until);
+                let room = Room {
+                    machine_type: machine_type.name.clone(),
+                    zone: zone.clone(),
+                    spot,
+                    free: Amounts::default(),
+                    machine,
+                    rentable: if refused || now < cloud.retry_at { 0 } else { RENTABLE },
+                };
+                rooms.insert(place, room);
+            }
+        }
+        for machine in self.machines.values().filter(|m| m.usable(now, self.facts.report_s)) {
+            let info = &machine.info;
+            let place = (info.kind.clone(), info.zone.clone(), info.spot);
+            if let Some(room) = rooms.get_mut(&place) {
+                let [cpus, gpus, memory_gb] = machine.free();
+                room.free.add(&Amounts { cpus, gpus, memory_gb });
+            }
+            images.extend(machine.images.iter().map(|(image, _)| image.clone()));
+        }
+        (rooms.into_values().collect(), images)
+    }
+
+    /// Tasks of this cell's own jobs that have waited for a place.
+    fn own_backlog(&self, now: Secs) -> u32 {
+        self.jobs
+            .values()
+            .filter(|job| job.record.origin.is_none() && now - job.arrived > BACKLOG_AGE_S)
+            .filter(|job| !job.spare() && !job.mistaken() && self.team_has_room(job.spec()))
+            .map(|job| job.waiting())
+            .fold(0, u32::saturating_add)
+    }
+
+    /// Promises to guests end as they begin.
+    pub(super) fn keep_promises(&mut self) {
+        let Some(Cells { inbound, .. }) = &mut self.cells else { return };
+        let waits = |id: &_| self.jobs.get(id).is_some_and(|job| job.started.is_empty());
+        inbound.keep_promises(waits);
+    }
+}
+
+/// Takes CPUs off what is free, then off what can be rented, with the other amounts in
+/// proportion.
+fn hold_back(rooms: &mut [Room], mut cpus: f64) {
+    for room in rooms.iter_mut().filter(|room| room.free.cpus > 0.0) {
+        let taken = cpus.min(room.free.cpus);
+        let left = 1.0 - taken / room.free.cpus;
+        room.free.cpus -= taken;
+        room.free.gpus *= left;
+        room.free.memory_gb *= left;
+        cpus -= taken;
+    }
+    for room in rooms.iter_mut().filter(|room| room.machine.cpus > 0.0) {
+        let machines = (cpus / room.machine.cpus).ceil().clamp(0.0, f64::from(room.rentable));
+        room.rentable -= machines as u32;
+        cpus = (cpus - machines * room.machine.cpus).max(0.0);
+    }
+}
--- /dev/null
+++ b/crates/core/src/cells/target.rs
@@ -0,0 +1,352 @@
+//! Jobs of other cells that come here.
+
+use super::{Pending, cond, put};
+use crate::event::{Action, ActionSink, ReplyTo, Secs, StoreRequest, StoreResult};
+use crate::leader::Leader;
+use crate::replica::Replica;
+use crate::user_api::never_runs;
+use marblebarrow_cells::inbound::{Decision, TargetView};
+use marblebarrow_cells::message::{
+    CellError, CellReply, Exchange, ExchangeReply, FinishedJob, GuestState, GuestStatus, Offer,
+    OfferReply, TrackedJob, Verdict,
+};
+use marblebarrow_proto::cbor::from_value;
+use marblebarrow_proto::ids::{CellName, JobId};
+use marblebarrow_proto::records::{EndRecord, SpecRecord, end_key, spec_key};
+use marblebarrow_proto::transfer::{
+    InboundRecord, RefusalReason, RefusalRecord, TransferId, inbound_key, lost_cell_key,
+    refused_key,
+};
+use marblebarrow_proto::wire::Txn;
+use std::sync::Arc;
+
+/// Changes of the store that accepting a job takes.
+const ACCEPT_CHANGES: f64 = 2.0;
+/// Changes that a refusal takes.
+const REFUSE_CHANGES: f64 = 1.0;
+
+/// What an exchange asks of the controller besides its answer.
+#[derive(Debug, Default)]
+pub(crate) struct ExchangeWork {
+    /// Jobs that their users want cancelled.
+    pub(crate) cancel: Vec<JobId>,
+    /// Jobs whose end must be read from the store, to be told next time.
+    pub(crate) read_end: Vec<JobId>,
+}
+
+impl Leader {
+    /// Another cell offers a job.
+    pub(crate) fn offered(
+        &mut self,
+        now: Secs,
+        reply: ReplyTo,
+        offer: Offer,
+        replica: &Replica,
+        out: &mut ActionSink,
+    ) {
+        match self.decide_on(now, &offer, replica) {
+            Err(error) => self.refuse_request(reply, error, out),
+            Ok(Decision::Accepted) => answer_offer(reply, offer.transfer, Verdict::Accepted, out),
+            Ok(Decision::Busy) => busy(reply, out),
+            Ok(Decision::Accept) => self.accept(reply, offer, out),
+            Ok(Decision::Refuse(reason)) => self.refuse(reply, &offer, reason, replica, out),
+        }
+    }
+
+    fn decide_on(
+        &mut self,
+        now: Secs,
+        offer: &Offer,
+        replica: &Replica,
+    ) -> Result<Decision, CellError> {
+        // Until all that runs is known, so is no room.
+        if self.loading.is_some() || self.recovering {
+            return Ok(Decision::Busy);
+        }
+        self.keep_promises();
+        let room = self.room(now);
+        let suitable = never_runs(&offer.spec, &self.facts, &self.cloud_requests.types).is_none()
+            && self.team_has_room(&offer.spec);
+        let job = &offer.spec.id;
+        let view = TargetView {
+            inbound: replica.inbound.get(job).map(|(record, _)| record),
+            id_known: replica.specs.contains_key(job) || self.jobs.contains_key(job),
+            suitable,
+            room: &room,
+        };
+        let Some(cells) = &mut self.cells else { return Err(CellError::UnknownCell) };
+        cells.inbound.admit(&offer.sender)?;
+        cells.inbound.decide(offer, &view)
+    }
+
+    /// A request that is unfit.
+    pub(crate) fn refuse_request(
+        &mut self,
+        reply: ReplyTo,
+        error: CellError,
+        out: &mut ActionSink,
+    ) {
+        if let Some(cells) = &mut self.cells {
+            cells.counts.bad_requests += 1;
+        }
+        out.actions.push(Action::CellReply(reply, Err(error)));
+    }
+
+    /// Records a job of another cell, so long as its transfer was never refused and its id
+    /// is nobody's here.
+    fn accept(&mut self, reply: ReplyTo, offer: Offer, out: &mut ActionSink) {
+        if !self.writer.afford(ACCEPT_CHANGES) {
+            return busy(reply, out);
+        }
+        let id = offer.spec.id.clone();
+        let mut record = SpecRecord::submitted(offer.spec.clone(), offer.at_ms);
+        record.origin = Some(offer.transfer.clone());
+        let inbound = InboundRecord { transfer: offer.transfer.clone() };
+        let txn = Txn {
+            conds: vec![
+                cond(spec_key(&id), 0),
+                cond(end_key(&id), 0),
+                cond(inbound_key(&id), 0),
+                cond(refused_key(&offer.transfer), 0),
+            ],
+            writes: vec![put(spec_key(&id), &record), put(inbound_key(&id), &inbound)],
+        };
+        if let Some(cells) = &mut self.cells {
+            cells.inbound.recording(&offer.transfer);
+            cells.inbound.promise(&offer.spec, &offer.transfer);
+        }
+        let offer = Box::new(offer);
+        self.commit_for_cells(txn, |_| Pending::Accept { reply, offer }, out);
+    }
+
+    /// An acceptance was written, or not.
+    pub(super) fn accept_written(
+        &mut self,
+        (now, wall_ms): (Secs, u64),
+        reply: ReplyTo,
+        offer: Offer,
+        result: &StoreResult,
+        replica: &Replica,
+        out: &mut ActionSink,
+    ) {
+        if let Some(cells) = &mut self.cells {
+            cells.inbound.recorded(&offer.transfer);
+        }
+        let id = &offer.spec.id;
+        match result {
+            StoreResult::Committed(version) => {
+                let mut record = SpecRecord::submitted(offer.spec.clone(), offer.at_ms);
+                record.origin = Some(offer.transfer.clone());
+                self.log.push(|| format!("event=accepted job={id} transfer={}", offer.transfer));
+                self.add_job(now, wall_ms, Arc::new(record), *version, false);
+                answer_offer(reply, offer.transfer, Verdict::Accepted, out);
+            }
+            StoreResult::Conflict(keys) if keys.contains(&refused_key(&offer.transfer)) => {
+                self.read_refusal(reply, offer.transfer, out);
+            }
+            StoreResult::Conflict(keys) if keys.contains(&inbound_key(id)) => busy(reply, out),
+            // Another job of that id is here, or was.
+            StoreResult::Conflict(_) => {
+                self.refuse(reply, &offer, RefusalReason::IdInUse, replica, out);
+            }
+            StoreResult::Rejected => {
+                self.refuse(reply, &offer, RefusalReason::Unsuitable, replica, out);
+            }
+            // Perhaps written: the next offer finds out.
+            _ => busy(reply, out),
+        }
+    }
+
+    /// Records a refusal, so that no late copy of the offer is ever accepted.
+    fn refuse(
+        &mut self,
+        reply: ReplyTo,
+        offer: &Offer,
+        reason: RefusalReason,
+        replica: &Replica,
+        out: &mut ActionSink,
+    ) {
+        if !self.writer.afford(REFUSE_CHANGES) {
+            return busy(reply, out);
+        }
+        let id = &offer.spec.id;
+        let transfer = offer.transfer.clone();
+        // An acceptance that is not seen yet makes this fail.
+        let inbound = replica.inbound.get(id).map_or(0, |(_, version)| *version);
+        let key = refused_key(&transfer);
+        let conds = vec![cond(key.clone(), 0), cond(inbound_key(id), inbound)];
+        let txn = Txn { conds, writes: vec![put(key, &RefusalRecord { reason })] };
+        if let Some(cells) = &mut self.cells {
+            cells.inbound.recording(&transfer);
+        }
+        self.commit_for_cells(txn, |_| Pending::Refuse { reply, transfer, reason }, out);
+    }
+
+    /// A refusal was written, or not.
+    pub(super) fn refusal_written(
+        &mut self,
+        reply: ReplyTo,
+        transfer: TransferId,
+        reason: RefusalReason,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        if let Some(cells) = &mut self.cells {
+            cells.inbound.recorded(&transfer);
+        }
+        match result {
+            StoreResult::Committed(_) => {
+                if let Some(cells) = &mut self.cells {
+                    cells.counts.refusals_given += 1;
+                }
+                answer_offer(reply, transfer, Verdict::Refused(reason), out);
+            }
+            StoreResult::Conflict(keys) if keys.contains(&refused_key(&transfer)) => {
+                self.read_refusal(reply, transfer, out);
+            }
+            _ => busy(reply, out),
+        }
+    }
+
+    fn read_refusal(&mut self, reply: ReplyTo, transfer: TransferId, out: &mut ActionSink) {
+        let Some(cells) = &mut self.cells else { return };
+        let op = out.store(StoreRequest::Get(refused_key(&transfer)));
+        cells.pending.insert(op, Pending::ReadRefusal { reply, transfer });
+    }
+
+    /// A refusal given before was read.
+    pub(super) fn refusal_read(
+        &mut self,
+        reply: ReplyTo,
+        transfer: TransferId,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        match result {
+            StoreResult::Value(Some(item)) => {
+                let reason = from_value::<RefusalRecord>(&item.value)
+                    .map_or(RefusalReason::Other, |record| record.reason);
+                answer_offer(reply, transfer, Verdict::Refused(reason), out);
+            }
+            _ => busy(reply, out),
+        }
+    }
+
+    /// A home leader asks about its jobs here and about this cell's room. `terminal` tells
+    /// an end that is surely in the store.
+    pub(crate) fn exchange(
+        &mut self,
+        now: Secs,
+        exchange: &Exchange,
+        replica: &Replica,
+        terminal: impl Fn(&JobId) -> Option<EndRecord>,
+        out: &mut ActionSink,
+    ) -> Result<(ExchangeReply, ExchangeWork), CellError> {
+        let Some(cells) = &mut self.cells else { return Err(CellError::UnknownCell) };
+        cells.inbound.admit(&exchange.sender)?;
+        if self.loading.is_some() {
+            return Err(CellError::Busy);
+        }
+        self.keep_promises();
+        let mut work = ExchangeWork::default();
+        let statuses = exchange
+            .tracked
+            .iter()
+            .filter_map(|tracked| self.status_of(tracked, replica, &terminal, &mut work))
+            .collect();
+        let dropped = self.drop_finished(now, &exchange.finished, replica, out);
+        let mut capacity = self.room_for_others(now);
+        if self.recovering {
+            capacity.rooms.clear();
+        }
+        Ok((ExchangeReply { capacity, statuses, dropped }, work))
+    }
+
+    /// How a guest stands, if it is known here by that transfer.
+    fn status_of(
+        &self,
+        tracked: &TrackedJob,
+        replica: &Replica,
+        terminal: &impl Fn(&JobId) -> Option<EndRecord>,
+        work: &mut ExchangeWork,
+    ) -> Option<GuestStatus> {
+        let id = &tracked.job;
+        let (record, _) = replica.inbound.get(id)?;
+        if record.transfer != tracked.transfer {
+            return None;
+        }
+        let state = match (terminal(id), self.jobs.get(id)) {
+            (Some(end), _) if end.cancelled => GuestState::Cancelled,
+            (Some(_), _) => GuestState::Done,
+            // Its mark was written with its end.
+            (None, _) if replica.is_cancelled(id) => GuestState::Cancelled,
+            (None, Some(job)) => {
+                if tracked.cancel {
+                    work.cancel.push(id.clone());
+                }
+                GuestState::Open { done: job.finished.len(), running: job.running() }
+            }
+            (None, None) => {
+                work.read_end.push(id.clone());
+                return None;
+            }
+        };
+        Some(GuestStatus { job: id.clone(), transfer: tracked.transfer.clone(), state })
+    }
+
+    /// Jobs of which nothing is kept for their home any more; what can be dropped is.
+    fn drop_finished(
+        &mut self,
+        now: Secs,
+        finished: &[FinishedJob],
+        replica: &Replica,
+        out: &mut ActionSink,
+    ) -> Vec<JobId> {
+        let ours = |f: &FinishedJob| {
+            let (record, version) = replica.inbound.get(&f.job)?;
+            (record.transfer == f.transfer).then_some(*version)
+        };
+        let gone = finished.iter().filter(|f| ours(f).is_none());
+        let dropped = gone.map(|f| f.job.clone()).collect();
+        let due = self.cells.as_mut().is_some_and(|cells| cells.drop_due(now));
+        for f in finished.iter().filter(|_| due) {
+            // A cancelled job whose tasks aren't all gone is kept.
+            let over = !replica.specs.contains_key(&f.job);
+            if let Some(version) = ours(f).filter(|_| over) {
+                self.drop_record(inbound_key(&f.job), version, out);
+            }
+        }
+        dropped
+    }
+
+    /// An operator says that a cell is lost for good.
+    pub(crate) fn declare_lost(&mut self, reply: ReplyTo, cell: CellName, out: &mut ActionSink) {
+        let known = self
+            .cells
+            .as_ref()
+            .is_some_and(|cells| cells.settings.others.iter().any(|other| other.name == cell));
+        if !known {
+            return self.refuse_request(reply, CellError::UnknownCell, out);
+        }
+        let txn = Txn { conds: Vec::new(), writes: vec![put(lost_cell_key(&cell), &true)] };
+        self.commit_for_cells(txn, |_| Pending::DeclareLost { reply }, out);
+    }
+
+    /// A cell's loss was written, or not.
+    pub(super) fn loss_written(reply: ReplyTo, result: &StoreResult, out: &mut ActionSink) {
+        let answer = match result {
+            StoreResult::Committed(_) => Ok(Box::new(CellReply::DeclaredLost)),
+            _ => Err(CellError::Busy),
+        };
+        out.actions.push(Action::CellReply(reply, answer));
+    }
+}
+
+fn answer_offer(reply: ReplyTo, transfer: TransferId, verdict: Verdict, out: &mut ActionSink) {
+    let answer = CellReply::Offer(OfferReply { transfer, verdict });
+    out.actions.push(Action::CellReply(reply, Ok(Box::new(answer))));
+}
+
+fn busy(reply: ReplyTo, out: &mut ActionSink) {
+    out.actions.push(Action::CellReply(reply, Err(CellError::Busy)));
+}
--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -127,6 +127,9 @@
 /// Retry-After given when the store can't be reached, seconds: an outage ends
 /// unannounced, and this is the least that users wait anyway.
 pub const RETRY_STORE_S: u32 = 1;
+/// Retry-After given to a cancellation that another cell must confirm, seconds: its leader
+/// is asked once a second, and writes its record.
+pub const RETRY_ELSEWHERE_S: u32 = 2;
 /// Retry-After given when this controller is too full, seconds.
 pub const RETRY_FULL_S: u32 = 2;
 /// Final answers remembered; the rest are read from the store. A fleet of four
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -1,6 +1,7 @@
 //! What goes into the core and what comes out.
 
-use marblebarrow_proto::ids::{JobId, MachineId, NodeId};
+use marblebarrow_cells::message::{CellError, CellReply, CellRequest};
+use marblebarrow_proto::ids::{CellName, JobId, MachineId, NodeId};
 use marblebarrow_proto::job::JobSpec;
 use marblebarrow_proto::wire::{
     Command, Item, ItemPage, JobStatus, MachineList, MachineType, Rent, Report, ReportAnswer, Txn,
@@ -14,6 +15,9 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub struct ReplyTo(pub u64);
 
+/// Where an answer goes that nobody waits for.
+pub const NOBODY: ReplyTo = ReplyTo(0);
+
 /// Names a request that the core made.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub struct OpId(pub u64);
@@ -253,6 +257,10 @@
     Direct(OpId, DirectResult),
     /// Another controller.
     Peer(PeerNews),
+    /// Another cell, or an operator, asks.
+    CellRequest(ReplyTo, Box<CellRequest>),
+    /// Another cell answered, or didn't.
+    CellAnswer(OpId, Result<Box<CellReply>, CellError>),
 }
 
 /// What the core wants done.
@@ -295,6 +303,17 @@
     },
     /// Send the peers the figures of jobs that changed.
     SendProgress(Vec<JobCounts>),
+    /// Ask another cell.
+    CellCall {
+        /// Our name for it.
+        op: OpId,
+        /// Which.
+        cell: CellName,
+        /// What.
+        request: Box<CellRequest>,
+    },
+    /// Answer another cell, or an operator.
+    CellReply(ReplyTo, Result<Box<CellReply>, CellError>),
 }
 
 /// Collects actions and names requests.
--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -5,7 +5,9 @@
     THIN_LIMIT, WARM_FACTOR, WATCH_BLOCK_MOST_S, WATCH_LAG_S, WATCH_SLACK_MOST_S,
     WATCH_TIMING_SHARE,
 };
+use marblebarrow_cells::settings::CellsSettings;
 use marblebarrow_proto::ids::NodeId;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A team's guarantee and limit. Zero means none.
@@ -115,6 +117,8 @@
     pub direct_most: usize,
     /// What operators set.
     pub tuning: Tuning,
+    /// The cell that this controller belongs to, and the others, if there are any.
+    pub cells: Option<Arc<CellsSettings>>,
 }
 
 impl Facts {
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -112,6 +112,8 @@
     pub queue: Option<u8>,
     /// Cancelled: stop all, start nothing.
     pub cancelled: bool,
+    /// Offered to another cell, or there, or about to be: start nothing.
+    pub away: bool,
     /// Its last transaction is under way.
     pub closing: bool,
     /// Some task of it ran for longer than a start must to count.
@@ -169,6 +171,7 @@
             runs: (0, 0.0),
             queue,
             cancelled: false,
+            away: false,
             closing: false,
             rooted: false,
             aimed: false,
@@ -265,7 +268,7 @@
     }
 
     fn may_start(&self, now: Secs) -> bool {
-        if self.cancelled || self.closing || now < self.not_before {
+        if self.cancelled || self.away || self.closing || now < self.not_before {
             return false;
         }
         // Taken for mistaken: one task at a time goes on trying.
@@ -315,9 +318,14 @@
         self.failed_on.contains(machine)
     }
 
+    /// Tasks that are seen to run.
+    pub fn running(&self) -> u32 {
+        self.live.values().filter(|live| live.phase == Phase::Running).count() as u32
+    }
+
     /// Tasks that wait, backoffs and doubts included.
     pub fn waiting(&self) -> u32 {
-        if self.cancelled || self.closing {
+        if self.cancelled || self.away || self.closing {
             return 0;
         }
         let busy = self.finished.len() + self.live.len() as u32 + self.maybe_running.len() as u32;
@@ -472,7 +480,7 @@
             save_s: 0.0,
             deadline_s: None,
         };
-        let record = Arc::new(SpecRecord { spec, at_ms: 0 });
+        let record = Arc::new(SpecRecord::submitted(spec, 0));
         Job::new(record, 1, 0.0, &Tuning::default(), &mut StdRng::seed_from_u64(1))
     }
 
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -2,6 +2,7 @@
 //! `reports` and `orders` (workers), `place`, `gangs` and `preempt` (who runs
 //! where), `writer` (records), `cloud_requests`, `provision` and `deprovision` (machines).
 
+use crate::cells::{Cells, CellsWritten};
 use crate::cloud_requests::CloudRequests;
 use crate::consts::*;
 use crate::event::{
@@ -18,7 +19,7 @@
 use crate::writer::Writer;
 use marblebarrow_proto::ids::{JobId, MachineId, TaskId, Term};
 use marblebarrow_proto::job::Kind;
-use marblebarrow_proto::records::EndRecord;
+use marblebarrow_proto::records::{EndRecord, SpecRecord};
 use marblebarrow_proto::wire::Report;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
@@ -71,6 +72,7 @@
     pub(crate) next_push: Secs,
     pub(crate) writer: Writer,
     pub(crate) cloud_requests: CloudRequests,
+    pub(crate) cells: Option<Cells>,
     pub(crate) recovering: bool,
     pub(crate) place_due: bool,
     pub(crate) placed_at: Secs,
@@ -95,6 +97,7 @@
         let mut leader = Self {
             writer: Writer::new(&facts, now),
             cloud_requests: CloudRequests::new(now),
+            cells: facts.cells.clone().map(|settings| Cells::new(settings, now)),
             facts,
             term,
             version,
@@ -159,6 +162,7 @@
         }
         self.flush(now, replica, out);
         self.cloud_tick(now, replica, out);
+        self.cells_tick(now, wall_ms, replica, out);
         self.push_direct(now, out);
     }
 
@@ -193,13 +197,28 @@
         let Some((record, version)) = replica.specs.get(id) else {
             return;
         };
-        if self.jobs.contains_key(id) || self.writer.closed(id, *version) {
+        if self.jobs.contains_key(id) {
+            return self.learn_record(now, record, *version);
+        }
+        if self.writer.closed(id, *version) {
             return;
         }
+        self.add_job(now, wall_ms, record.clone(), *version, replica.is_cancelled(id));
+    }
+
+    /// A job that isn't known yet.
+    pub(crate) fn add_job(
+        &mut self,
+        now: Secs,
+        wall_ms: u64,
+        record: Arc<SpecRecord>,
+        version: u64,
+        cancelled: bool,
+    ) {
+        let id = record.spec.id.clone();
         let age = wall_ms.saturating_sub(record.at_ms) as f64 / 1e3;
-        let mut job =
-            Job::new(record.clone(), *version, now - age, &self.facts.tuning, &mut self.rng);
-        job.cancelled = replica.is_cancelled(id);
+        let mut job = Job::new(record, version, now - age, &self.facts.tuning, &mut self.rng);
+        job.cancelled = cancelled;
         job.aimed = self.facts.aimed(&job.spec().class);
         job.finish_s = self.facts.finish_s(&job.spec().class);
         self.cloud_requests.saw_job(now, job.spec());
@@ -214,9 +233,10 @@
         });
         self.least_cpus = self.least_cpus.min(job.spec().cpus);
         if job.cancelled {
-            self.writer.close(id, now);
+            self.writer.close(&id, now);
         }
         self.jobs.insert(id.clone(), job);
+        self.learn_forward(now, &id);
         self.place_due = true;
     }
 
@@ -361,7 +381,11 @@
             self.loaded(now, wall_ms, op, result, replica, out);
             return true;
         }
-        self.written(now, op, result, out)
+        match self.cells_written(now, wall_ms, op, &result, replica, out) {
+            CellsWritten::NotOurs => self.written(now, op, result, out),
+            CellsWritten::Ours => true,
+            CellsWritten::NotLeading => false,
+        }
     }
 
     /// The cloud answered.
@@ -453,8 +477,8 @@
         }
         let mut updates = Vec::new();
         for (id, job) in &self.jobs {
-            let running = job.live.values().filter(|l| l.phase == Phase::Running).count() as u32;
-            let counts = TaskCounts { done: job.finished.len(), running };
+            let here = TaskCounts { done: job.finished.len(), running: job.running() };
+            let counts = self.counts_elsewhere(id).unwrap_or(here);
             if self.progress_sent.get(id) != Some(&counts) {
                 self.progress_sent.insert(id.clone(), counts);
                 updates.push(JobCounts { job: id.clone(), counts });
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,5 +1,6 @@
 //! The scheduler without input or output: events and time in, actions out.
 
+mod cells;
 mod cloud_requests;
 pub mod consts;
 mod deprovision;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -7,6 +7,7 @@
 use crate::leader::Leader;
 use crate::replica::{Change, Replica};
 use crate::user_api::{RequestContext, UserApi};
+use marblebarrow_cells::message::{CellError, CellReply, CellRequest, Exchange};
 use marblebarrow_proto::ids::{JobId, NodeId};
 use marblebarrow_proto::records::TERM;
 use marblebarrow_proto::wire::MachineType;
@@ -169,6 +170,14 @@
                 }
             }
             Event::Peer(news) => self.peer(now, news),
+            Event::CellRequest(to, request) => self.cell_request(now, wall_ms, to, *request),
+            Event::CellAnswer(op, answer) => {
+                if self.may_act(now)
+                    && let Some(l) = &mut self.leader
+                {
+                    l.cell_answered(now, op, answer, &self.replica, &mut self.out);
+                }
+            }
         }
     }
 
@@ -363,6 +372,47 @@
         }
     }
 
+    /// Another cell, or an operator, asks: only a leader answers.
+    fn cell_request(&mut self, now: Secs, wall_ms: u64, to: ReplyTo, request: CellRequest) {
+        let leads = self.may_act(now);
+        let Some(leader) = self.leader.as_mut().filter(|_| leads) else {
+            return self.out.actions.push(Action::CellReply(to, Err(CellError::NotLeader)));
+        };
+        match request {
+            CellRequest::Offer(offer) => {
+                leader.offered(now, to, *offer, &self.replica, &mut self.out);
+            }
+            CellRequest::DeclareLost(cell) => leader.declare_lost(to, cell, &mut self.out),
+            CellRequest::Overview => {
+                let overview = leader.cells_overview(now, &self.replica).map(Box::new);
+                let answer = overview.ok_or(CellError::UnknownCell);
+                self.out.actions.push(Action::CellReply(to, answer));
+            }
+            CellRequest::Exchange(exchange) => self.cell_exchange(now, wall_ms, to, &exchange),
+        }
+    }
+
+    fn cell_exchange(&mut self, now: Secs, wall_ms: u64, to: ReplyTo, exchange: &Exchange) {
+        let Some(leader) = &mut self.leader else { return };
+        let user_api = &self.user_api;
+        let terminal = |id: &JobId| user_api.terminal_state(id).cloned();
+        let outcome = leader.exchange(now, exchange, &self.replica, terminal, &mut self.out);
+        let (reply, work) = match outcome {
+            Ok(outcome) => outcome,
+            Err(error) => return leader.refuse_request(to, error, &mut self.out),
+        };
+        let answer = Ok(Box::new(CellReply::Exchange(reply)));
+        self.out.actions.push(Action::CellReply(to, answer));
+        self.with_user_api(now, wall_ms, |user_api, context, out| {
+            for job in work.cancel {
+                user_api.ask(context, NOBODY, UserRequest::Cancel(job), out);
+            }
+            for job in work.read_end {
+                user_api.learn_end(job, out);
+            }
+        });
+    }
+
     fn learn_progress(&mut self, jobs: Vec<JobCounts>) {
         let specs = &self.replica.specs;
         let known = jobs
--- a/crates/core/src/provision.rs
+++ b/crates/core/src/provision.rs
@@ -685,6 +685,7 @@
             list_lag_s: 8.0,
             direct_most: 200,
             tuning: Tuning::default(),
+            cells: None,
         };
         let mut leader = Leader::new(Arc::new(facts), Term(1), 1, 0.0, &mut ActionSink::default());
         leader.cloud_requests.types = vec![MachineType {
@@ -722,7 +723,7 @@
                 save_s: 0.0,
                 deadline_s: Some(3.0 * RUN_S),
             };
-            let record = Arc::new(SpecRecord { spec, at_ms: 0 });
+            let record = Arc::new(SpecRecord::submitted(spec, 0));
             let mut rng = rand::rngs::StdRng::seed_from_u64(1);
             let mut job = Job::new(record, 1, 0.0, &Tuning::default(), &mut rng);
             for n in (0..tasks).filter(|_| runs) {
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -5,10 +5,11 @@
 use crate::event::{Secs, WatchContent, WatchNews};
 use ciborium::Value;
 use marblebarrow_proto::cbor::from_value;
-use marblebarrow_proto::ids::JobId;
+use marblebarrow_proto::ids::{CellName, JobId};
 use marblebarrow_proto::records::{self, LeaderRecord, SpecRecord};
+use marblebarrow_proto::transfer::{self, AcknowledgeRecord, InboundRecord};
 use marblebarrow_proto::wire::{MachineType, WatchEvent};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Bound;
 use std::sync::Arc;
 
@@ -51,6 +52,15 @@
     pub types: Option<Vec<MachineType>>,
     /// Version of their key; 0: none.
     pub types_version: u64,
+    /// Jobs accepted from other cells whose end their home may not have yet, and the
+    /// versions of these records.
+    pub inbound: BTreeMap<JobId, (InboundRecord, u64)>,
+    /// Ends that another cell must be told are known here, and versions.
+    pub acknowledge: BTreeMap<JobId, (AcknowledgeRecord, u64)>,
+    /// Jobs that may be elsewhere and whose users want them cancelled.
+    pub cancel_wanted: BTreeSet<JobId>,
+    /// Cells that an operator declared lost.
+    pub lost_cells: BTreeSet<CellName>,
     versions: BTreeMap<String, u64>,
 }
 
@@ -160,6 +170,7 @@
             self.marked.insert(id.clone(), version);
             Some(Change::Cancelled(id))
         } else {
+            self.put_transfer(&key, value, version);
             None
         };
         self.versions.insert(key, version);
@@ -179,7 +190,37 @@
             self.specs.remove(&JobId::new(id));
         } else if let Some(id) = key.strip_prefix(records::CANCELS) {
             self.marked.remove(&JobId::new(id));
+        } else {
+            self.delete_transfer(key);
         }
         None
     }
+
+    fn put_transfer(&mut self, key: &str, value: &Value, version: u64) {
+        if let Some(id) = key.strip_prefix(transfer::INBOUND) {
+            if let Ok(record) = from_value(value) {
+                self.inbound.insert(JobId::new(id), (record, version));
+            }
+        } else if let Some(id) = key.strip_prefix(transfer::ACKNOWLEDGE) {
+            if let Ok(record) = from_value(value) {
+                self.acknowledge.insert(JobId::new(id), (record, version));
+            }
+        } else if let Some(id) = key.strip_prefix(transfer::CANCEL_WANTED) {
+            self.cancel_wanted.insert(JobId::new(id));
+        } else if let Some(cell) = key.strip_prefix(transfer::LOST_CELLS) {
+            self.lost_cells.insert(CellName::new(cell));
+        }
+    }
+
+    fn delete_transfer(&mut self, key: &str) {
+        if let Some(id) = key.strip_prefix(transfer::INBOUND) {
+            self.inbound.remove(&JobId::new(id));
+        } else if let Some(id) = key.strip_prefix(transfer::ACKNOWLEDGE) {
+            self.acknowledge.remove(&JobId::new(id));
+        } else if let Some(id) = key.strip_prefix(transfer::CANCEL_WANTED) {
+            self.cancel_wanted.remove(&JobId::new(id));
+        } else if let Some(cell) = key.strip_prefix(transfer::LOST_CELLS) {
+            self.lost_cells.remove(&CellName::new(cell));
+        }
+    }
 }
--- a/crates/core/src/user_api.rs
+++ b/crates/core/src/user_api.rs
@@ -8,7 +8,8 @@
 
 use crate::consts::*;
 use crate::event::{
-    ActionSink, Answer, OpId, ReplyTo, Secs, StoreRequest, StoreResult, TaskCounts, UserRequest,
+    ActionSink, Answer, NOBODY, OpId, ReplyTo, Secs, StoreRequest, StoreResult, TaskCounts,
+    UserRequest,
 };
 use crate::facts::Facts;
 use crate::replica::Replica;
@@ -16,6 +17,7 @@
 use marblebarrow_proto::ids::JobId;
 use marblebarrow_proto::job::{JobSpec, Kind};
 use marblebarrow_proto::records::{EndRecord, SpecRecord, cancel_key, end_key, spec_key};
+use marblebarrow_proto::transfer::cancel_wanted_key;
 use marblebarrow_proto::wire::{Cond, JobStatus, MachineType, Stage, Txn, Write};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -32,6 +34,8 @@
     Cancel(JobId, ReplyTo, u32),
     /// Reads a last word.
     End(JobId, ReplyTo, Absent),
+    /// Records that a cancellation is wanted of a job that may be in another cell.
+    CancelWanted,
 }
 
 /// What it means that a job has no last word.
@@ -150,7 +154,7 @@
             return out.reply(to, Answer::Full(RETRY_FULL_S));
         }
         let id = spec.id.clone();
-        let record = SpecRecord { spec, at_ms: context.wall_ms };
+        let record = SpecRecord::submitted(spec, context.wall_ms);
         let txn = Txn {
             conds: vec![
                 Cond { key: spec_key(&id), version: 0 },
@@ -195,7 +199,11 @@
         }
         self.writes += 1;
         match context.replica.specs.get(&id) {
-            Some((rec, version)) => self.write_cancel(id, to, *version, rec.spec.tasks, out),
+            Some((record, version)) => {
+                let record = record.clone();
+                let wanted = context.replica.cancel_wanted.contains(&id);
+                self.cancel_known(id, to, &record, *version, wanted, out);
+            }
             None => {
                 let op = out.store(StoreRequest::Get(spec_key(&id)));
                 self.pending.insert(op, Pending::CancelRead(id, to));
@@ -203,6 +211,50 @@
         }
     }
 
+    /// Cancels a job here, or has its leader cancel it where it may be.
+    fn cancel_known(
+        &mut self,
+        id: JobId,
+        to: ReplyTo,
+        record: &SpecRecord,
+        version: u64,
+        wanted: bool,
+        out: &mut ActionSink,
+    ) {
+        if record.forward.is_none() {
+            return self.write_cancel(id, to, version, record.spec.tasks, out);
+        }
+        // Only the cell that owns it can confirm: the user comes again until it has.
+        self.writes -= 1;
+        if !wanted {
+            self.want_cancel(&id, version, out);
+        }
+        out.reply(to, Answer::Unavailable(RETRY_ELSEWHERE_S));
+    }
+
+    fn want_cancel(&mut self, id: &JobId, version: u64, out: &mut ActionSink) {
+        let txn = Txn {
+            conds: vec![Cond { key: spec_key(id), version }, Cond { key: end_key(id), version: 0 }],
+            writes: vec![Write::Put {
+                key: cancel_wanted_key(id),
+                value: to_value(&true),
+                grant: None,
+            }],
+        };
+        let op = out.store(StoreRequest::Commit(txn));
+        self.pending.insert(op, Pending::CancelWanted);
+    }
+
+    /// Reads a last word, to be known from then on.
+    pub fn learn_end(&mut self, id: JobId, out: &mut ActionSink) {
+        self.read_end(id, NOBODY, Absent::Unclear, out);
+    }
+
+    /// A last word that is surely in the store, if it is known here.
+    pub fn terminal_state(&self, id: &JobId) -> Option<&EndRecord> {
+        self.terminal_states.get(id)
+    }
+
     fn write_cancel(
         &mut self,
         id: JobId,
@@ -282,6 +334,8 @@
         };
         match pending {
             Pending::Check(asked) => self.checked(context, asked, result, out),
+            // The user asks again, whatever came of it.
+            Pending::CancelWanted => {}
             Pending::Submit(id, to) => {
                 self.writes -= 1;
                 match result {
@@ -296,10 +350,12 @@
                 }
             }
             Pending::CancelRead(id, to) => match result {
-                StoreResult::Value(Some(item)) => {
-                    let tasks = from_value::<SpecRecord>(&item.value).map_or(0, |r| r.spec.tasks);
-                    self.write_cancel(id, to, item.version, tasks, out);
-                }
+                StoreResult::Value(Some(item)) => match from_value::<SpecRecord>(&item.value) {
+                    Ok(record) => {
+                        self.cancel_known(id, to, &record, item.version, false, out);
+                    }
+                    Err(_) => self.write_cancel(id, to, item.version, 0, out),
+                },
                 StoreResult::Value(None) => {
                     self.writes -= 1;
                     self.read_end(id, to, Absent::Never, out);
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -113,6 +113,15 @@
         self.budget = (self.budget + past * rate).min(self.rps * LEADER_WRITE_SHARE);
     }
 
+    /// Whether the store's rate allows so many changes besides; if so, they are counted.
+    pub(crate) fn afford(&mut self, changes: f64) -> bool {
+        let affordable = self.budget >= changes;
+        if affordable {
+            self.budget -= changes;
+        }
+        affordable
+    }
+
     /// Users' submissions and cancels changed so many keys.
     pub(crate) fn saw_user_changes(&mut self, changes: f64) {
         self.users += changes;
@@ -489,7 +498,7 @@
         }
     }
 
-    fn closed(&mut self, now: Secs, id: &JobId, cancelled: bool, tasks: u32) {
+    pub(crate) fn closed(&mut self, now: Secs, id: &JobId, cancelled: bool, tasks: u32) {
         // Attempts that are of no more use, if any.
         let left: Vec<(u32, MachineId, Attempt)> = self.jobs.get(id).map_or(Vec::new(), |j| {
             j.live.iter().map(|(n, l)| (*n, l.machine.clone(), l.attempt)).collect()
--- a/crates/core/tests/authority.rs
+++ b/crates/core/tests/authority.rs
@@ -39,6 +39,7 @@
         list_lag_s: 2.0,
         direct_most: 40,
         tuning: Tuning::default(),
+        cells: None,
     }
 }
 
--- a/crates/core/tests/cluster/gap.rs
+++ b/crates/core/tests/cluster/gap.rs
@@ -3,7 +3,7 @@
 //! leases run out in time.
 
 use crate::at_leader;
-use crate::world::{Trouble, World};
+use marblebarrow_rehearsal::world::{Trouble, World};
 
 /// The store refuses the leader alone, a second later users call off jobs that run,
 /// through the others, and then it is down for longer than those may take: twice.
--- a/crates/core/tests/cluster/large_fleet.rs
+++ b/crates/core/tests/cluster/large_fleet.rs
@@ -1,7 +1,7 @@
 //! Four thousand machines: what they run, a takeover with a quarter of them dead, and what
 //! that costs the store and the links, in counts and bytes.
 
-use crate::world::{Trouble, World};
+use marblebarrow_rehearsal::world::{Trouble, World};
 
 const MACHINES: usize = 4_200;
 /// Replicas of each service; half of the jobs are services.
--- a/crates/core/tests/cluster/meetings.rs
+++ b/crates/core/tests/cluster/meetings.rs
@@ -2,7 +2,7 @@
 //! must have met, so that it can't pass because they missed each other.
 
 use crate::at_leader;
-use crate::world::{Trouble, World};
+use marblebarrow_rehearsal::world::{Trouble, World};
 
 /// Plays a meeting with other luck each time, at the same times and some seconds later,
 /// with jobs whose tasks end far apart. `set` prepares each world; `met` counts, after
--- a/crates/core/tests/user_api.rs
+++ b/crates/core/tests/user_api.rs
@@ -30,6 +30,7 @@
         list_lag_s: 2.0,
         direct_most: 40,
         tuning: Tuning::default(),
+        cells: None,
     };
     let mut node = Node::new(facts, 1, 0.0);
     node.handle(0.0, 0, Event::Watch(fresh(0.0, Vec::new())));
--- a/crates/proto/src/ids.rs
+++ b/crates/proto/src/ids.rs
@@ -117,6 +117,10 @@
     /// A controller, e.g. `barrow-1`.
     NodeId
 );
+text_id!(
+    /// A cell: controllers with a state service, a fleet and a cloud of their own.
+    CellName
+);
 
 impl JobId {
     /// Whether a job id has the one form that users give it.
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod intset;
 pub mod job;
 pub mod records;
+pub mod transfer;
 pub mod wire;
 
 /// The generated gRPC service between controllers.
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -6,6 +6,7 @@
 
 use crate::ids::{JobId, MachineId, NodeId};
 use crate::intset::{IntSet, PackedSet};
+use crate::transfer::{ForwardRecord, TransferId};
 use serde::{Deserialize, Serialize};
 
 /// Prefix of all that is watched.
@@ -93,6 +94,26 @@
     pub spec: crate::job::JobSpec,
     /// Time of day of acceptance, milliseconds since 1970, for the deadline.
     pub at_ms: u64,
+    /// It was offered to another cell, and can't start in this one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub forward: Option<ForwardRecord>,
+    /// It came from another cell, by this transfer, and goes to no other.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub origin: Option<TransferId>,
+    /// How often other cells refused it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub refusals: u32,
+}
+
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+impl SpecRecord {
+    /// The record of a job as its user submitted it.
+    pub fn submitted(spec: crate::job::JobSpec, at_ms: u64) -> Self {
+        Self { spec, at_ms, forward: None, origin: None, refusals: 0 }
+    }
 }
 
 /// A part of a job's progress.
--- /dev/null
+++ b/src/cells.rs
@@ -0,0 +1,228 @@
+//! The link to other cells: gRPC, its runtime on one thread at the edge. It keeps no state of
+//! transfers: every request may be lost or repeated.
+
+use crate::limits::*;
+use crate::owner::{CellAnswer, Inbox, Message};
+use marblebarrow_cells::message::{CellError, CellReply, CellRequest, OfferReply};
+use marblebarrow_cells::rpc::{error_of, lost_cell_in};
+use marblebarrow_cells::settings::{CellsSettings, OtherCell};
+use marblebarrow_cells::wire::cells_client::CellsClient;
+use marblebarrow_cells::wire::cells_server::{Cells, CellsServer};
+use marblebarrow_cells::wire::*;
+use marblebarrow_core::event::{Event, OpId};
+use marblebarrow_proto::ids::CellName;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::sync::{mpsc, oneshot};
+use tonic::transport::{Channel, Endpoint};
+use tonic::{Request, Response, Status};
+use tracing::Instrument as _;
+
+/// A request on its way to another cell.
+#[derive(Debug)]
+struct Outgoing {
+    op: OpId,
+    request: CellRequest,
+}
+
+/// The way to the other cells.
+#[derive(Debug)]
+pub struct CellLink {
+    cells: BTreeMap<CellName, mpsc::Sender<Outgoing>>,
+}
+
+impl CellLink {
+    /// Starts the thread that speaks with them.
+    pub fn start(settings: &CellsSettings, inbox: &Inbox) -> std::io::Result<Self> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let listener = std::net::TcpListener::bind(settings.listen)?;
+        listener.set_nonblocking(true)?;
+        let mut cells = BTreeMap::new();
+        let mut lines = Vec::new();
+        for other in &settings.others {
+            let (tx, rx) = mpsc::channel(CELL_QUEUE);
+            cells.insert(other.name.clone(), tx);
+            lines.push((other.clone(), rx));
+        }
+        let (inbox, message_bytes) = (inbox.clone(), settings.message_bytes);
+        crate::links::spawn("cells", move || {
+            runtime.block_on(async move {
+                for (other, rx) in lines {
+                    tokio::spawn(speak(other, rx, inbox.clone(), message_bytes));
+                }
+                serve(listener, inbox, message_bytes).await;
+            });
+        })?;
+        Ok(Self { cells })
+    }
+
+    /// Hands over a request; the event is its answer if it can't be taken.
+    pub fn send(&self, op: OpId, cell: &CellName, request: CellRequest) -> Option<Event> {
+        let sent = self.cells.get(cell).map(|tx| tx.try_send(Outgoing { op, request }));
+        match sent {
+            Some(Ok(())) => None,
+            _ => Some(Event::CellAnswer(op, Err(CellError::NoAnswer))),
+        }
+    }
+}
+
+async fn serve(listener: std::net::TcpListener, inbox: Inbox, message_bytes: usize) {
+    let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
+    let service = CellsServer::new(Service { inbox, malformed: Arc::default() })
+        .max_decoding_message_size(message_bytes)
+        .max_encoding_message_size(message_bytes);
+    let served = tonic::transport::Server::builder()
+        .timeout(CELL_ANSWER_TIME)
+        .concurrency_limit_per_connection(CELL_CALLS)
+        .max_concurrent_streams(Some(CELL_CALLS as u32))
+        .max_frame_size(Some(CELL_FRAME))
+        .add_service(service)
+        .serve_with_incoming(tonic::transport::server::TcpIncoming::from(listener))
+        .await;
+    if let Err(error) = served {
+        tracing::error!(%error, "event=cells_stopped");
+    }
+}
+
+/// One cell's requests, several at once. A controller that isn't the leader, or doesn't
+/// answer, is left for the next.
+async fn speak(
+    other: OtherCell,
+    mut requests: mpsc::Receiver<Outgoing>,
+    inbox: Inbox,
+    message_bytes: usize,
+) {
+    let clients: Vec<CellsClient<Channel>> =
+        other.controllers.iter().filter_map(|addr| client(*addr, message_bytes)).collect();
+    if clients.is_empty() {
+        return;
+    }
+    let cell = other.name;
+    let at = Arc::new(AtomicU64::new(0));
+    let slots = Arc::new(tokio::sync::Semaphore::new(CELL_CALLS));
+    while let Some(Outgoing { op, request }) = requests.recv().await {
+        let Ok(slot) = slots.clone().acquire_owned().await else { return };
+        let turn = at.load(Ordering::Relaxed);
+        let client = clients[(turn % clients.len() as u64) as usize].clone();
+        let (at, inbox) = (at.clone(), inbox.clone());
+        let span = tracing::debug_span!("cell_call", %cell, op = op.0);
+        let call = async move {
+            let answer = call(client, &request).await;
+            if matches!(answer, Err(CellError::NotLeader | CellError::NoAnswer)) {
+                // Others may have moved on already.
+                let next = (turn, turn + 1);
+                let _ = at.compare_exchange(next.0, next.1, Ordering::Relaxed, Ordering::Relaxed);
+            }
+            tracing::debug!(outcome = outcome(&answer), "event=cell_answered");
+            let event = Event::CellAnswer(op, answer.map(Box::new));
+            inbox.offer(Message::Event(event));
+            drop(slot);
+        };
+        tokio::spawn(call.instrument(span));
+    }
+}
+
+fn client(addr: SocketAddr, message_bytes: usize) -> Option<CellsClient<Channel>> {
+    let endpoint = Endpoint::from_shared(format!("http://{addr}")).ok()?;
+    let channel = endpoint.connect_timeout(CONNECT_TIME).timeout(CELL_TIME).connect_lazy();
+    let client = CellsClient::new(channel);
+    Some(client.max_decoding_message_size(message_bytes).max_encoding_message_size(message_bytes))
+}
+
+async fn call(
+    mut client: CellsClient<Channel>,
+    request: &CellRequest,
+) -> Result<CellReply, CellError> {
+    match request {
+        CellRequest::Exchange(exchange) => {
+            let reply = client.exchange(ExchangeRequest::from(exchange)).await;
+            let reply = reply.map_err(|status| error_of(&status))?.into_inner();
+            reply.try_into().map(CellReply::Exchange)
+        }
+        CellRequest::Offer(offer) => {
+            let reply = client.offer(OfferRequest::from(offer.as_ref())).await;
+            let reply = reply.map_err(|status| error_of(&status))?.into_inner();
+            OfferReply::try_from(reply).map(CellReply::Offer)
+        }
+        // Operators ask for themselves.
+        CellRequest::Overview | CellRequest::DeclareLost(_) => Err(CellError::Malformed),
+    }
+}
+
+fn outcome(answer: &Result<CellReply, CellError>) -> String {
+    match answer {
+        Ok(CellReply::Offer(reply)) => format!("{:?}", reply.verdict),
+        Ok(_) => "answered".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
+
+struct Service {
+    inbox: Inbox,
+    /// Requests refused before the owner saw them.
+    malformed: Arc<AtomicU64>,
+}
+
+impl Service {
+    async fn ask(&self, request: Result<CellRequest, CellError>) -> Result<CellReply, Status> {
+        let request = request.inspect_err(|_| {
+            self.malformed.fetch_add(1, Ordering::Relaxed);
+        })?;
+        let (reply, answer) = oneshot::channel::<CellAnswer>();
+        if !self.inbox.offer(Message::Cell(Box::new(request), reply)) {
+            return Err(CellError::Busy.into());
+        }
+        let answer = answer.await.unwrap_or(Err(CellError::Busy))?;
+        Ok(*answer)
+    }
+}
+
+#[tonic::async_trait]
+impl Cells for Service {
+    async fn exchange(
+        &self,
+        request: Request<ExchangeRequest>,
+    ) -> Result<Response<ExchangeReply>, Status> {
+        let exchange = request.into_inner().try_into().map(CellRequest::Exchange);
+        match self.ask(exchange).await? {
+            CellReply::Exchange(reply) => Ok(Response::new((&reply).into())),
+            _ => Err(Status::internal("wrong answer")),
+        }
+    }
+
+    async fn offer(
+        &self,
+        request: Request<OfferRequest>,
+    ) -> Result<Response<marblebarrow_cells::wire::OfferReply>, Status> {
+        let offer = request.into_inner().try_into().map(|o| CellRequest::Offer(Box::new(o)));
+        match self.ask(offer).await? {
+            CellReply::Offer(reply) => Ok(Response::new((&reply).into())),
+            _ => Err(Status::internal("wrong answer")),
+        }
+    }
+
+    async fn overview(
+        &self,
+        _: Request<OverviewRequest>,
+    ) -> Result<Response<OverviewReply>, Status> {
+        match self.ask(Ok(CellRequest::Overview)).await? {
+            CellReply::Overview(overview) => {
+                let mut reply = OverviewReply::from(overview.as_ref());
+                reply.bad_requests += self.malformed.load(Ordering::Relaxed);
+                Ok(Response::new(reply))
+            }
+            _ => Err(Status::internal("wrong answer")),
+        }
+    }
+
+    async fn declare_lost(
+        &self,
+        request: Request<DeclareLostRequest>,
+    ) -> Result<Response<DeclareLostReply>, Status> {
+        let cell = lost_cell_in(request.get_ref()).map(CellRequest::DeclareLost);
+        self.ask(cell).await?;
+        Ok(Response::new(DeclareLostReply {}))
+    }
+}
--- /dev/null
+++ b/src/cells_cli.rs
@@ -0,0 +1,89 @@
+//! Operators' commands on cells: what a cell knows of the others, and a cell's loss.
+
+use crate::limits::{CELL_TIME, CONNECT_TIME};
+use marblebarrow_cells::wire::cells_client::CellsClient;
+use marblebarrow_cells::wire::*;
+use std::net::SocketAddr;
+use tonic::Status;
+use tonic::transport::{Channel, Endpoint};
+
+/// What the loss of a cell risks, told before it is declared.
+pub const LOSS_RISKS: &str = "jobs that are in a lost cell start again at home: if that cell, \
+or a machine of it, still runs, they run twice, and what it finished is done again";
+
+fn runtime() -> std::io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()
+}
+
+async fn connect(server: SocketAddr) -> Result<CellsClient<Channel>, String> {
+    let endpoint = Endpoint::from_shared(format!("http://{server}"));
+    let endpoint = endpoint.map_err(|error| error.to_string())?;
+    let endpoint = endpoint.connect_timeout(CONNECT_TIME).timeout(CELL_TIME);
+    let channel = endpoint.connect().await.map_err(|_| format!("no answer from {server}"))?;
+    Ok(CellsClient::new(channel))
+}
+
+fn refused(status: Status) -> String {
+    status.message().to_owned()
+}
+
+/// The overview of the cell that a controller leads, a line each.
+pub fn overview(server: SocketAddr) -> Result<Vec<String>, String> {
+    let runtime = runtime().map_err(|error| error.to_string())?;
+    runtime.block_on(async {
+        let mut client = connect(server).await?;
+        let reply = client.overview(OverviewRequest {}).await.map_err(refused)?;
+        Ok(lines(&reply.into_inner()))
+    })
+}
+
+/// Declares a cell lost for good.
+pub fn declare_lost(server: SocketAddr, cell: &str, typed_name: &str) -> Result<(), String> {
+    let runtime = runtime().map_err(|error| error.to_string())?;
+    let request = DeclareLostRequest { cell: cell.to_owned(), typed_name: typed_name.to_owned() };
+    runtime.block_on(async {
+        let mut client = connect(server).await?;
+        client.declare_lost(request).await.map_err(refused)?;
+        Ok(())
+    })
+}
+
+fn lines(overview: &OverviewReply) -> Vec<String> {
+    let mut lines = vec![format!(
+        "cell={} term={} guests={} offers_sent={} refusals_received={} refusals_given={} \
+         bad_requests={}",
+        overview.cell,
+        overview.term,
+        overview.guests,
+        overview.offers_sent,
+        overview.refusals_received,
+        overview.refusals_given,
+        overview.bad_requests
+    )];
+    lines.extend(overview.cells.iter().map(cell_line));
+    lines.extend(overview.transfers.iter().map(transfer_line));
+    lines
+}
+
+fn cell_line(cell: &CellOverview) -> String {
+    let link = match (cell.lost, cell.heard_s.is_finite()) {
+        (true, _) => "declared lost".to_owned(),
+        (false, true) => format!("heard {:.1} s ago", cell.heard_s),
+        (false, false) => "never heard".to_owned(),
+    };
+    format!(
+        "other={} link=\"{link}\" free_cpus={:.1} rentable={} backlog={}",
+        cell.cell, cell.free_cpus, cell.rentable, cell.backlog
+    )
+}
+
+fn transfer_line(transfer: &TransferOverview) -> String {
+    format!(
+        "job={} target={} state={} age_s={:.1}{}",
+        transfer.job,
+        transfer.target,
+        if transfer.accepted { "there" } else { "in_doubt" },
+        transfer.age_s,
+        if transfer.cancel_wanted { " cancel_wanted" } else { "" }
+    )
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,12 +1,16 @@
 //! The command line.
 
+use crate::cells_cli;
 use crate::http::Client;
 use crate::settings::Settings;
 use ciborium::Value;
 use clap::{Parser, Subcommand};
+use marblebarrow_cells::settings::CellsSettings;
+use marblebarrow_rehearsal::scenario::Scenario;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Exit code for settings or arguments that can't be used.
@@ -24,6 +28,9 @@
     /// Operators' own settings (HCL), optional
     #[arg(long, value_name = "FILE", global = true)]
     operator: Option<PathBuf>,
+    /// This cell and the others (HCL), optional
+    #[arg(long, value_name = "FILE", global = true)]
+    cells: Option<PathBuf>,
     #[command(subcommand)]
     command: Option<Cmd>,
 }
@@ -58,6 +65,26 @@
         /// The job's id
         job: String,
     },
+    /// Show cells, links, room and transfers, or declare a cell lost
+    Cells {
+        /// Where a controller listens for cells
+        #[arg(long, value_name = "IP:PORT")]
+        server: SocketAddr,
+        /// A cell that is gone for good, whose jobs may start again at home
+        #[arg(long, value_name = "CELL")]
+        declare_lost: Option<String>,
+        /// Its name once more
+        #[arg(long, value_name = "CELL", requires = "declare_lost")]
+        typed_name: Option<String>,
+    },
+    /// Rehearse failures in simulated time: exit code 0 pass, 1 a rule was broken
+    Rehearse {
+        /// Which; without a name, lists them
+        name: Option<String>,
+        /// Decides all that is left to luck
+        #[arg(long, default_value_t = 0)]
+        seed: u64,
+    },
     /// Cancel a job
     Cancel {
         /// A controller or the load balancer
@@ -73,21 +100,27 @@
     pub fn run(self) -> ExitCode {
         match (self.command, self.config) {
             (Some(Cmd::Serve { config }), _) | (None, Some(config)) => {
-                serve(&config, self.operator.as_deref())
+                serve(&config, self.operator.as_deref(), self.cells.as_deref())
+            }
+            (Some(Cmd::Cells { server, declare_lost, typed_name }), _) => {
+                cells(server, declare_lost.as_deref(), typed_name.as_deref())
             }
-            (Some(Cmd::Check { config }), _) => match load(&config, self.operator.as_deref()) {
-                Ok(s) => {
-                    println!(
-                        "{}: ok, controller {} of {}, {} teams",
-                        config.display(),
-                        s.facts.node,
-                        s.others.len() + 1,
-                        s.facts.teams.len()
-                    );
-                    ExitCode::SUCCESS
+            (Some(Cmd::Rehearse { name, seed }), _) => rehearse(name.as_deref(), seed),
+            (Some(Cmd::Check { config }), _) => {
+                match load(&config, self.operator.as_deref(), self.cells.as_deref()) {
+                    Ok(s) => {
+                        println!(
+                            "{}: ok, controller {} of {}, {} teams",
+                            config.display(),
+                            s.facts.node,
+                            s.others.len() + 1,
+                            s.facts.teams.len()
+                        );
+                        ExitCode::SUCCESS
+                    }
+                    Err(e) => bad(&e),
                 }
-                Err(e) => bad(&e),
-            },
+            }
             (Some(Cmd::Submit { server, file }), _) => match job_body(&file) {
                 Ok(body) => call(server, "POST", "/api/jobs", &body),
                 Err(e) => bad(&e),
@@ -108,16 +141,64 @@
     ExitCode::from(BAD_USE)
 }
 
-fn load(config: &Path, operator: Option<&Path>) -> Result<Settings, String> {
+/// Shows what a cell knows of the others, or declares one lost.
+fn cells(server: SocketAddr, lost: Option<&str>, typed_name: Option<&str>) -> ExitCode {
+    let Some(lost) = lost else {
+        return match cells_cli::overview(server) {
+            Ok(lines) => {
+                lines.iter().for_each(|line| println!("{line}"));
+                ExitCode::SUCCESS
+            }
+            Err(why) => failed(&why),
+        };
+    };
+    if typed_name != Some(lost) {
+        let risks = cells_cli::LOSS_RISKS;
+        return bad(&format!("{risks}. To go on, add --typed-name {lost}"));
+    }
+    match cells_cli::declare_lost(server, lost, lost) {
+        Ok(()) => {
+            println!("cell={lost} declared lost");
+            ExitCode::SUCCESS
+        }
+        Err(why) => failed(&why),
+    }
+}
+
+/// Runs a rehearsal, or lists them.
+fn rehearse(name: Option<&str>, seed: u64) -> ExitCode {
+    let names: Vec<&str> = Scenario::ALL.iter().map(|scenario| scenario.name()).collect();
+    let Some(name) = name else {
+        println!("{}", names.join("\n"));
+        return ExitCode::SUCCESS;
+    };
+    let Some(scenario) = Scenario::named(name) else {
+        return bad(&format!("no rehearsal `{name}`; there are {}", names.join(", ")));
+    };
+    let verdict = scenario.run(seed);
+    print!("{verdict}");
+    if verdict.passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn failed(why: &str) -> ExitCode {
+    eprintln!("marblebarrow: {why}");
+    ExitCode::FAILURE
+}
+
+fn load(config: &Path, operator: Option<&Path>, cells: Option<&Path>) -> Result<Settings, String> {
     let mut settings = Settings::load(config).map_err(|e| e.to_string())?;
     if let Some(path) = operator {
         settings.facts.tuning = crate::operator::load(path)?;
     }
+    if let Some(path) = cells {
+        let cells = CellsSettings::load(path).map_err(|error| error.to_string())?;
+        settings.facts.cells = Some(Arc::new(cells));
+    }
     Ok(settings)
 }
 
-fn serve(config: &Path, operator: Option<&Path>) -> ExitCode {
-    let settings = match load(config, operator) {
+fn serve(config: &Path, operator: Option<&Path>, cells: Option<&Path>) -> ExitCode {
+    let settings = match load(config, operator, cells) {
         Ok(s) => s,
         Err(e) => return bad(&e),
     };
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -137,6 +137,16 @@
 pub const PEER_TIME: Duration = Duration::from_millis(700);
 /// Words to the other controllers that may wait.
 pub const PEER_QUEUE: usize = 64;
+/// Requests to another cell that may wait: more are refused, and made again later.
+pub const CELL_QUEUE: usize = 64;
+/// Requests under way with another cell at once, in either direction.
+pub const CELL_CALLS: usize = 16;
+/// Answer of another cell: it writes a record first.
+pub const CELL_TIME: Duration = Duration::from_secs(4);
+/// Within this a request of another cell is answered, or told to come back.
+pub const CELL_ANSWER_TIME: Duration = Duration::from_millis(3_500);
+/// Frames between cells, bytes.
+pub const CELL_FRAME: u32 = 16 * 1024;
 /// Least value limit of the state service that our records fit, KiB: two bit
 /// maps of a part's tasks, and the names of the machines a job may be on.
 pub const VALUE_KB_MIN: f64 = 8.0;
--- a/src/links.rs
+++ b/src/links.rs
@@ -3,6 +3,7 @@
 //! refused at once, so that the core knows.
 
 use crate::authority::Authority;
+use crate::cells::CellLink;
 use crate::http::{CallError, Client};
 use crate::limits::*;
 use crate::owner::{Clock, Inbox};
@@ -30,6 +31,8 @@
     pub direct: DirectLink,
     /// Other controllers.
     pub peers: Peers,
+    /// Other cells, if there are any.
+    pub cells: Option<CellLink>,
 }
 
 /// Starts a thread with a small stack.
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,8 @@
 //! commands check settings and speak to a running controller.
 
 mod authority;
+mod cells;
+mod cells_cli;
 mod cli;
 mod http;
 mod limits;
@@ -41,6 +43,10 @@
         store: links::StoreLink::start(settings.state, &inbox, clock, watch_timing)?,
         cloud: links::CloudLink::start(settings.cloud, &inbox, &authority)?,
         direct: links::DirectLink::new(&inbox, &authority, room.direct_threads),
+        cells: match &settings.facts.cells {
+            Some(cells) => Some(cells::CellLink::start(cells, &inbox)?),
+            None => None,
+        },
         peers: peers::Peers::start(
             settings.facts.node.clone(),
             settings.peer_listen,
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -4,6 +4,7 @@
 use crate::authority::Authority;
 use crate::limits::*;
 use crate::links::Links;
+use marblebarrow_cells::message::{CellError, CellReply, CellRequest};
 use marblebarrow_core::consts::{RETRY_FULL_S, RETRY_STORE_S};
 use marblebarrow_core::event::*;
 use marblebarrow_core::facts::Facts;
@@ -15,6 +16,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
 
 /// A question from outside.
 #[derive(Debug)]
@@ -51,6 +53,9 @@
     }
 }
 
+/// What another cell is answered.
+pub type CellAnswer = Result<Box<CellReply>, CellError>;
+
 /// What waits for the owner.
 #[derive(Debug)]
 pub enum Message {
@@ -67,8 +72,10 @@
         /// It was told of jobs up to this one already.
         after: Option<JobId>,
         /// Where the answer goes.
-        reply: tokio::sync::oneshot::Sender<PledgeAnswer>,
+        reply: oneshot::Sender<PledgeAnswer>,
     },
+    /// A request of another cell, or of an operator, and where its answer goes.
+    Cell(Box<CellRequest>, oneshot::Sender<CellAnswer>),
     /// Anything else.
     Event(Event),
     /// Something urgent waits.
@@ -209,7 +216,8 @@
 
 enum Waiting {
     Asker(Asker),
-    Pledge(tokio::sync::oneshot::Sender<PledgeAnswer>),
+    Pledge(oneshot::Sender<PledgeAnswer>),
+    Cell(oneshot::Sender<CellAnswer>),
 }
 
 /// The steady clock, counted from when the process began.
@@ -307,6 +315,9 @@
                     Ask::Report(report) => Event::Report(to, report),
                 }
             }
+            Message::Cell(request, reply) => {
+                Event::CellRequest(wait(Waiting::Cell(reply)), request)
+            }
             Message::Pledge { from, term, revision, after, reply } => {
                 let reply = wait(Waiting::Pledge(reply));
                 Event::Peer(PeerNews::PledgeAsked { reply, from, term, revision, after })
@@ -347,6 +358,17 @@
                 self.links.peers.ask_pledges(term, revision, now);
             }
             Action::SendProgress(jobs) => self.links.peers.send_progress(&jobs),
+            Action::CellCall { op, cell, request } => {
+                let link = self.links.cells.as_ref();
+                if let Some(event) = link.and_then(|link| link.send(op, &cell, *request)) {
+                    self.node.handle(now, 0, event);
+                }
+            }
+            Action::CellReply(to, answer) => {
+                if let Some(Waiting::Cell(tx)) = self.waiting.remove(&to) {
+                    let _ = tx.send(answer);
+                }
+            }
         }
     }
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -230,6 +230,8 @@
             // Shared out from the resources when the parts are started.
             direct_most: 4,
             tuning: Tuning::default(),
+            // A file of their own.
+            cells: None,
         };
         Ok(Self {
             listen: raw.serve_on,
