--- a/tests/stand_in/cluster.rs
+++ b/tests/stand_in/cluster.rs
@@ -7,8 +7,10 @@
 use super::usage::Usage;
 use super::worker::Fleet;
 use marblebarrow_proto::cbor;
+use marblebarrow_proto::ids::{JobId, TaskId};
 use marblebarrow_proto::records::{LEADER, LeaderRecord, TERM, TermRecord};
-use std::net::{TcpListener, TcpStream};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Stdio};
 use std::sync::Arc;
@@ -18,6 +20,13 @@
 /// Longest that any one thing may take before a test gives up.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Ports of the system's choice: taken, noted, and let go for the children.
+pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let held: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("bind")).collect();
+    held.iter().map(|listener| listener.local_addr().expect("addr")).collect()
+}
+
 /// Controllers, as real processes, and their surroundings.
 pub struct Cluster {
     children: Vec<Option<Child>>,
@@ -35,15 +44,14 @@
 
     /// Starts what is planned.
     pub fn start_with(plan: Plan) -> Self {
+        Self::start_in_cell(plan, None)
+    }
+
+    /// Starts what is planned, with a file on cells for each controller if there are others.
+    pub fn start_in_cell(plan: Plan, cell_files: Option<Vec<String>>) -> Self {
         let count = plan.controllers;
-        // The system's choice of ports: taken, noted, and let go for the children.
-        let free = || {
-            let l = TcpListener::bind("127.0.0.1:0").expect("bind");
-            (l.local_addr().expect("addr").to_string(), l)
-        };
-        let held: Vec<_> = (0..count * 2).map(|_| free()).collect();
-        let addrs: Vec<String> = held.iter().map(|(a, _)| a.clone()).collect();
-        drop(held);
+        let addrs: Vec<String> =
+            free_addresses(count * 2).iter().map(ToString::to_string).collect();
         let (nodes, peers) = (addrs[..count].to_vec(), addrs[count..].to_vec());
         let store: SharedStore = Arc::default();
         let shared = store.clone();
@@ -58,12 +66,14 @@
                 let file = dir.join(format!("c{i}.toml"));
                 let text = settings_text(i, &plan, &nodes, &peers, &cloud_addr, &store_addr);
                 std::fs::write(&file, text).expect("settings");
-                let child = std::process::Command::new(env!("CARGO_BIN_EXE_marblebarrow"))
-                    .arg("--config")
-                    .arg(&file)
-                    .stderr(Stdio::null())
-                    .spawn()
-                    .expect("start");
+                let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_marblebarrow"));
+                command.arg("--config").arg(&file);
+                if let Some(files) = &cell_files {
+                    let path = dir.join(format!("c{i}.hcl"));
+                    std::fs::write(&path, &files[i]).expect("cells");
+                    command.arg("--cells").arg(path);
+                }
+                let child = command.stderr(Stdio::null()).spawn().expect("start");
                 Some(child)
             })
             .collect();
@@ -160,6 +170,14 @@
         }
     }
 
+    /// Kills all controllers.
+    pub fn kill_all(&mut self) {
+        for mut child in self.children.iter_mut().filter_map(Option::take) {
+            child.kill().expect("kill");
+            child.wait().expect("wait");
+        }
+    }
+
     /// Ends a machine that holds a task of the job, without notice.
     pub fn end_holder(&self, job: &str) {
         self.wait_for(&format!("a task of {job} runs"), |c| c.fleet.holds(job));
@@ -210,6 +228,42 @@
         self.fleet.held()
     }
 
+    /// How a job stands, by whichever controller answers for good.
+    pub fn stage_of(&self, id: &str) -> Option<String> {
+        let (status, body) = self.call("GET", &format!("/api/jobs/{id}"), &[]);
+        if status == 200 { stage(&body) } else { None }
+    }
+
+    /// Jobs of which a task ever ran here, by the workers' own records.
+    pub fn jobs_run(&self) -> BTreeSet<JobId> {
+        self.fleet.jobs_run()
+    }
+
+    /// How often each task completed here, by the workers' own records.
+    pub fn completions(&self) -> BTreeMap<TaskId, u32> {
+        self.fleet.completions()
+    }
+
+    /// How many tasks of the job are on machines.
+    pub fn holds_tasks(&self, job: &JobId) -> usize {
+        self.fleet.holds_tasks(job)
+    }
+
+    /// Keys under a prefix that the store holds.
+    pub fn keys_under(&self, prefix: &str) -> usize {
+        self.store.0.lock().expect("store").keys_under(prefix)
+    }
+
+    /// Keys under a prefix that the store ever held.
+    pub fn keys_ever(&self, prefix: &str) -> BTreeSet<String> {
+        self.store.0.lock().expect("store").keys_ever(prefix)
+    }
+
+    /// Changes of the store so far.
+    pub fn store_changes(&self) -> usize {
+        self.store.0.lock().expect("store").changes()
+    }
+
     /// Rules that were broken.
     pub fn broken(&self) -> Vec<String> {
         self.fleet.broken()
--- a/tests/stand_in/store.rs
+++ b/tests/stand_in/store.rs
@@ -4,7 +4,7 @@
 use ciborium::Value;
 use marblebarrow_proto::cbor;
 use marblebarrow_proto::wire::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -31,6 +31,25 @@
         self.kv.get(key).map(|record| record.0.clone())
     }
 
+    /// Keys under a prefix that were ever put.
+    pub fn keys_ever(&self, prefix: &str) -> BTreeSet<String> {
+        let puts = self
+            .history
+            .iter()
+            .filter(|(_, key, value)| key.starts_with(prefix) && value.is_some());
+        puts.map(|(_, key, _)| key.clone()).collect()
+    }
+
+    /// How many keys there are under a prefix.
+    pub fn keys_under(&self, prefix: &str) -> usize {
+        self.kv.keys().filter(|key| key.starts_with(prefix)).count()
+    }
+
+    /// Keys put or deleted so far.
+    pub fn changes(&self) -> usize {
+        self.history.len()
+    }
+
     /// How many watches have ended without news.
     pub fn quiet_watches(&self) -> u64 {
         self.quiet_watches
@@ -182,10 +201,10 @@
             let until = Instant::now() + Duration::from_millis(wait);
             loop {
                 store.expire();
-                let events: Vec<WatchEvent> = store
-                    .history
+                let first = store.history.partition_point(|(r, ..)| *r <= after);
+                let events: Vec<WatchEvent> = store.history[first..]
                     .iter()
-                    .filter(|(r, k, _)| *r > after && k.starts_with(&under))
+                    .filter(|(_, k, _)| k.starts_with(&under))
                     .map(|(r, key, v)| match v.clone() {
                         Some(value) => WatchEvent::Put { key: key.clone(), value, version: *r },
                         None => WatchEvent::Delete { key: key.clone(), version: *r },
--- a/tests/stand_in/worker.rs
+++ b/tests/stand_in/worker.rs
@@ -37,6 +37,8 @@
     rented: Mutex<BTreeSet<MachineId>>,
     ended: Mutex<BTreeSet<MachineId>>,
     next_name: AtomicUsize,
+    jobs_run: Mutex<BTreeSet<JobId>>,
+    completions: Mutex<BTreeMap<TaskId, u32>>,
 }
 
 impl Fleet {
@@ -45,11 +47,26 @@
         self.broken.lock().expect("broken").clone()
     }
 
+    /// Jobs of which a task ever ran.
+    pub fn jobs_run(&self) -> BTreeSet<JobId> {
+        self.jobs_run.lock().expect("jobs").clone()
+    }
+
+    /// How often each task completed.
+    pub fn completions(&self) -> BTreeMap<TaskId, u32> {
+        self.completions.lock().expect("completions").clone()
+    }
+
     /// Whether any machine holds a task of the job.
     pub fn holds(&self, job: &str) -> bool {
         self.on.lock().expect("fleet").iter().any(|(task, _)| task.job.as_str() == job)
     }
 
+    /// How many tasks of the job are on machines.
+    pub fn holds_tasks(&self, job: &JobId) -> usize {
+        self.on.lock().expect("fleet").iter().filter(|(task, _)| task.job == *job).count()
+    }
+
     /// How many tasks are on machines.
     pub fn held(&self) -> usize {
         self.on.lock().expect("fleet").len()
@@ -105,6 +122,7 @@
             let line = format!("ran_twice: {task} on {} and {other}", self.id);
             self.fleet.broken.lock().expect("broken").push(line);
         }
+        self.fleet.jobs_run.lock().expect("jobs").insert(task.job.clone());
         all.insert(key);
     }
 
@@ -126,7 +144,11 @@
                 t.clone()
             })
             .collect();
-        ended.iter().for_each(|t| self.live(t, false));
+        for task in &ended {
+            self.live(task, false);
+            let mut completions = self.fleet.completions.lock().expect("completions");
+            *completions.entry(task.clone()).or_default() += 1;
+        }
     }
 
     fn report(&mut self) -> Report {
