--- /dev/null
+++ b/crates/core/src/tests/jobs.rs
@@ -0,0 +1,173 @@
+use super::*;
+use marblebarrow_proto::ids::JobId;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+
+fn job(tasks: u32) -> Job {
+    let spec = JobSpec {
+        id: JobId::new("req-1"),
+        class: "c".into(),
+        team: "t".into(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks,
+        cpus: 1.0,
+        gpus: 0.0,
+        memory_gb: 1.0,
+        image: "i".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        estimate_s: 10.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    };
+    let record = Arc::new(SpecRecord::submitted(spec, 0));
+    Job::new(record, 1, 0.0, &Tuning::default(), &mut StdRng::seed_from_u64(1))
+}
+
+fn place(job: &mut Job, n: u32, machine: &str, now: Secs) {
+    let live = Live {
+        machine: MachineId::new(machine),
+        attempt: Attempt(1),
+        phase: Phase::Running,
+        since: now,
+        ran_from: Some(now),
+        doubt: false,
+        stop: None,
+        sent: None,
+        adopted: false,
+    };
+    job.place(n, live, 1);
+}
+
+#[test]
+fn queues_follow_the_papers_bounds() {
+    assert_eq!(queue_of(1_000.0), 0);
+    assert_eq!(queue_of(1_001.0), 1);
+    assert_eq!(queue_of(100_000.0), 2);
+    assert_eq!(queue_of(f64::INFINITY), 9);
+}
+
+#[test]
+fn wide_jobs_sample_and_thin_ones_do_not() {
+    assert_eq!((job(2).pilots.len(), job(2).queue), (0, Some(0)));
+    assert_eq!((job(3).pilots.len(), job(3).queue), (1, None));
+    assert_eq!(job(100).pilots.len(), 3);
+}
+
+/// Failing pilots once would have made a job look tiny.
+#[test]
+fn a_failed_pilot_says_nothing_of_the_size() {
+    let mut j = job(1_000);
+    for n in j.pilots.clone() {
+        place(&mut j, n, "m", 0.0);
+        j.over(n, Outcome::Error, 0.5);
+    }
+    assert_eq!((j.runs.0, j.queue), (0, None));
+    for n in j.pilots.clone() {
+        place(&mut j, n, "m", 10.0);
+        j.over(n, Outcome::Done, 40.0);
+    }
+    assert_eq!((j.mean_run(), j.queue), (Some(30.0), Some(2)));
+}
+
+/// A service that serves is no mistaken job, whatever machines failed under it.
+#[test]
+fn a_service_that_serves_is_not_taken_for_mistaken() {
+    let mut j = job(4);
+    let record = Arc::make_mut(&mut j.record);
+    record.spec.kind = Kind::Service;
+    for (n, m) in [(0, "a"), (1, "b"), (2, "c")] {
+        place(&mut j, n, m, 0.0);
+    }
+    j.ran_for(SERVES_S + 1.0);
+    j.over(0, Outcome::Error, 40.0);
+    j.over(1, Outcome::Error, 80.0);
+    assert!(!j.mistaken() && j.next_task(200.0).is_some());
+}
+
+/// What a failure says of the machine shows when the job succeeds elsewhere.
+#[test]
+fn failures_are_explained_by_a_success_elsewhere() {
+    let mut j = job(10);
+    place(&mut j, 0, "faulty", 0.0);
+    j.over(0, Outcome::Error, 1.0);
+    assert_eq!(j.unexplained(), vec![MachineId::new("faulty")]);
+    place(&mut j, 0, "sound", 2.0);
+    j.over(0, Outcome::Done, 10.0);
+    assert!(j.sound() && j.unexplained().is_empty());
+}
+
+/// In a full fleet the youngest is stopped first: the first task of idle work
+/// is left alone until it ran for as long as a start must to count.
+#[test]
+fn idle_work_keeps_its_first_task() {
+    let mut j = job(40);
+    Arc::make_mut(&mut j.record).spec.priority = Priority::Low;
+    place(&mut j, 0, "a", 0.0);
+    assert!(j.keeps(5.0));
+    place(&mut j, 1, "b", 6.0);
+    assert!(!j.keeps(7.0), "one of the two may go");
+    j.over(1, Outcome::Lost, 8.0);
+    assert!(j.keeps(9.0));
+    j.ran_for(GATHER_AGE_S + 1.0);
+    assert!(!j.keeps(40.0));
+    j.aimed = true;
+    assert!(!j.spare());
+}
+
+/// One slow pilot sinks a job only until other tasks are done.
+#[test]
+fn a_slow_pilot_is_outvoted() {
+    let mut j = job(30);
+    let pilot = j.pilots[0];
+    place(&mut j, pilot, "slow", 0.0);
+    j.over(pilot, Outcome::Done, 400.0);
+    assert_eq!(j.queue, Some(2));
+    for n in (0..30).filter(|n| *n != pilot).take(20) {
+        place(&mut j, n, "m", 0.0);
+        j.over(n, Outcome::Done, 10.0);
+    }
+    assert_eq!(j.queue, Some(0));
+}
+
+/// The rest of a run that a new leader saw is not taken for the whole.
+#[test]
+fn a_takeover_does_not_shrink_a_job() {
+    let mut j = job(300);
+    for n in j.pilots.clone() {
+        place(&mut j, n, "m", 0.0);
+        if let Some(l) = j.live.get_mut(&n) {
+            l.adopted = true;
+        }
+        j.over(n, Outcome::Done, 1.0);
+    }
+    assert_eq!((j.mean_run(), j.queue), (None, None));
+    // Whole runs of other tasks size it then.
+    let n = j.next_task(1.0).expect("waits");
+    place(&mut j, n, "m", 1.0);
+    j.over(n, Outcome::Done, 41.0);
+    assert_eq!((j.mean_run(), j.queue), (Some(40.0), Some(2)));
+}
+
+/// A job that fails everywhere must not fill the machines with its tries.
+#[test]
+fn a_mistaken_job_tries_one_task_at_a_time() {
+    let mut j = job(10);
+    for (n, m) in [(0, "a"), (1, "b")] {
+        place(&mut j, n, m, 0.0);
+        j.over(n, Outcome::Error, 1.0);
+    }
+    assert!(j.mistaken());
+    assert_eq!(j.next_task(1.1), None);
+    let n = j.next_task(60.0).expect("goes on trying");
+    place(&mut j, n, "c", 60.0);
+    assert_eq!(j.next_task(60.0), None);
+    j.over(n, Outcome::Done, 61.0);
+    assert!(!j.mistaken() && j.next_task(61.0).is_some());
+}
--- /dev/null
+++ b/crates/core/src/tests/provision.rs
@@ -0,0 +1,175 @@
+use super::*;
+use proptest::prelude::*;
+
+use crate::facts::{Facts, Tuning};
+use crate::jobs::{Live, Phase};
+use crate::place::Demand;
+use marblebarrow_proto::ids::{Attempt, NodeId, Term};
+use marblebarrow_proto::job::Priority;
+use marblebarrow_proto::records::SpecRecord;
+use rand::SeedableRng as _;
+use std::sync::Arc;
+
+const RUN_S: f64 = 40.0;
+
+/// A leader whose `busy` one-CPU tasks end one after the other within a run,
+/// and with as many `waiting`, due after three runs.
+fn leader(busy: u32, waiting: u32, adopted: bool) -> Leader {
+    let facts = Facts {
+        node: NodeId::new("c0"),
+        others: Vec::new(),
+        teams: Vec::new(),
+        deadlines: Vec::new(),
+        finishes: Vec::new(),
+        report_s: 6.0,
+        lease_s: 31.0,
+        cancel_s: 56.0,
+        core_share: 1.0,
+        log: true,
+        store_rps: 300.0,
+        store_write_rps: 90.0,
+        store_txn_ops: 24,
+        cloud_rps: 7.0,
+        list_lag_s: 8.0,
+        direct_most: 200,
+        tuning: Tuning::default(),
+        cells: None,
+    };
+    let mut leader = Leader::new(Arc::new(facts), Term(1), 1, 0.0, &mut ActionSink::default());
+    leader.cloud_requests.types = vec![MachineType {
+        name: "k".into(),
+        cpus: 16.0,
+        gpus: 0.0,
+        memory_gb: 64.0,
+        cache_gb: 50.0,
+        fetch_gb_per_s: 0.5,
+        price: 1.0,
+        spot_price: 0.5,
+        boot_s: 25.0,
+        zones: vec!["a".into()],
+    }];
+    for (name, tasks, runs) in [("req-000001", busy, true), ("req-000002", waiting, false)] {
+        let spec = JobSpec {
+            id: JobId::new(name),
+            class: "a".into(),
+            team: "t".into(),
+            kind: Kind::Array,
+            priority: Priority::Normal,
+            tasks,
+            cpus: 1.0,
+            gpus: 0.0,
+            memory_gb: 1.0,
+            image: "i".into(),
+            image_gb: 2.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate_s: RUN_S,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: Some(3.0 * RUN_S),
+        };
+        let record = Arc::new(SpecRecord::submitted(spec, 0));
+        let mut rng = rand::rngs::StdRng::seed_from_u64(1);
+        let mut job = Job::new(record, 1, 0.0, &Tuning::default(), &mut rng);
+        for n in (0..tasks).filter(|_| runs) {
+            let began = if adopted { 0.0 } else { -RUN_S * f64::from(n) / f64::from(tasks) };
+            let live = Live {
+                machine: MachineId::new("m"),
+                attempt: Attempt(1),
+                phase: Phase::Running,
+                since: began,
+                ran_from: Some(began),
+                doubt: false,
+                stop: None,
+                sent: None,
+                adopted,
+            };
+            job.place(n, live, 1);
+        }
+        leader.jobs.insert(JobId::new(name), job);
+    }
+    leader
+}
+
+fn late(leader: &Leader) -> u32 {
+    leader.late_tasks(0.0, &[], |_| true).0.iter().map(|(_, n)| n).sum()
+}
+
+/// 9,000 tasks wait for as many busy CPUs: those that would start after a
+/// boot are seen, though the first 4,000 start sooner.
+#[test]
+fn a_plan_sees_the_whole_backlog_of_a_large_fleet() {
+    assert!(late(&leader(9_000, 9_000, false)) > 1_000);
+    assert_eq!(late(&leader(9_000, 3_000, false)), 0);
+}
+
+/// What a new leader finds running is not thought to have just begun.
+#[test]
+fn a_takeover_does_not_make_a_backlog_look_longer() {
+    assert_eq!(late(&leader(2_000, 500, true)), 0);
+}
+
+/// A backlog that stays is rented against, though no task of it would start
+/// sooner on a machine rented now; one that passes is not.
+#[test]
+fn a_backlog_that_stays_gets_machines() {
+    for (steady, wanted) in [(true, true), (false, false)] {
+        let mut leader = leader(0, 2_000, false);
+        let mut plan = BTreeMap::new();
+        for step in 0..60 {
+            let cpus = if steady || step % 10 > 0 { 2_000.0 } else { 0.0 };
+            leader.drain_backlog(f64::from(step) * FLEET_EVERY_S, cpus, 250, &mut plan);
+        }
+        assert_eq!(!plan.is_empty(), wanted, "{plan:?}");
+    }
+}
+
+/// An image is fetched once more only where its holders don't come free
+/// sooner than the fetch would end.
+#[test]
+fn a_fetch_must_be_worth_it() {
+    let mut leader = leader(0, 10, false);
+    let id = JobId::new("req-000002");
+    for (waiting, holders, worth) in [(10.0, 0.0, true), (10.0, 16.0, true), (10.0, 800.0, false)] {
+        leader.images.insert("i".into(), Demand { waiting, holders });
+        assert_eq!(leader.worth_fetch(&id), worth, "{waiting} {holders}");
+    }
+}
+
+proptest! {
+    /// Filling room by room takes the same rooms as one task after another.
+    #[test]
+    fn many_tasks_take_what_each_would(
+        rooms in proptest::collection::vec((1u32..9, any::<bool>(), 0usize..2), 0..30),
+        cpus in 1u32..4,
+        spot in any::<bool>(),
+        tasks in 0u32..60,
+    ) {
+        let mut rooms: Vec<Room> = rooms
+            .into_iter()
+            .map(|(free, spot, kind)| Room {
+                at: 0.0,
+                free: [f64::from(free), 0.0, 8.0],
+                spot,
+                kind,
+                zone: 0,
+            })
+            .collect();
+        let need = Need {
+            amounts: [f64::from(cpus), 0.0, 1.0],
+            spot,
+            kinds: vec![Some(None), None],
+        };
+        let mut one_by_one = rooms.clone();
+        let placed = (0..tasks).take_while(|_| need.take(&mut one_by_one)).count() as u32;
+        prop_assert_eq!(need.lacking(&mut rooms, tasks), tasks - placed);
+        let mut left: Vec<u32> = rooms.iter().map(|r| r.free[0] as u32).collect();
+        let mut wanted: Vec<u32> = one_by_one.iter().map(|r| r.free[0] as u32).collect();
+        left.sort_unstable();
+        wanted.sort_unstable();
+        prop_assert_eq!(left, wanted);
+    }
+}
--- /dev/null
+++ b/crates/proto/src/tests/job.rs
@@ -0,0 +1,92 @@
+use super::*;
+use proptest::prelude::*;
+
+/// The protocol page's example, as a CBOR map.
+fn example() -> Vec<(Value, Value)> {
+    let t = |s: &str| Value::Text(s.into());
+    let f = Value::Float;
+    [
+        ("ref", t("req-000412")),
+        ("lot", t("train")),
+        ("crew", t("vision")),
+        ("shape", t("sweep")),
+        ("rank", t("high")),
+        ("pieces", Value::from(16)),
+        ("vcpus", f(8.0)),
+        ("cards", Value::from(1)),
+        ("mem_gb", f(64.0)),
+        ("mould", t("img-07")),
+        ("size_gb", f(6.2)),
+        ("builds", Value::Array(vec![t("g8")])),
+        ("quarter", Value::Null),
+        ("together", Value::Bool(true)),
+        ("spread", Value::Bool(false)),
+        ("loaners", Value::Bool(true)),
+        ("guess_s", f(240.0)),
+        ("mark_s", f(30.0)),
+        ("stow_s", f(4.0)),
+        ("due_s", f(900.0)),
+        ("unheard_of", t("x")),
+    ]
+    .into_iter()
+    .map(|(k, v)| (t(k), v))
+    .collect()
+}
+
+fn parse(m: Vec<(Value, Value)>) -> Result<JobSpec, BadJob> {
+    JobSpec::parse(&cbor::encode(&Value::Map(m)))
+}
+
+#[test]
+fn takes_the_example_and_survives_the_store() {
+    let spec = parse(example()).expect("valid");
+    assert_eq!((spec.tasks, spec.gpus, spec.zone.clone()), (16, 1.0, None));
+    let back: JobSpec = cbor::from_value(&cbor::to_value(&spec)).expect("round trip");
+    assert_eq!(back, spec);
+}
+
+#[test]
+fn refuses_each_missing_or_bad_field() {
+    for (i, (name, _)) in example().iter().enumerate() {
+        let name = name.as_text().expect("text").to_owned();
+        let mut m = example();
+        m.remove(i);
+        let optional = ["builds", "quarter", "due_s", "unheard_of"].contains(&name.as_str());
+        assert_eq!(parse(m).is_ok(), optional, "without {name}");
+        if name == "unheard_of" {
+            continue;
+        }
+        for bad in [Value::Float(f64::NAN), Value::from(-1), Value::Map(vec![])] {
+            let mut m = example();
+            m[i].1 = bad;
+            assert!(parse(m).is_err(), "bad {name}");
+        }
+    }
+    for n in [0i64, 100_001, i64::MAX] {
+        let mut m = example();
+        m[5].1 = Value::from(n);
+        assert_eq!(parse(m), Err(BadJob::Field("pieces")));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn hostile_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let _ = JobSpec::parse(&bytes);
+    }
+
+    #[test]
+    fn damaged_bodies_never_panic(at in 0usize..400, byte in any::<u8>(), cut in 0usize..400) {
+        let mut body = cbor::encode(&Value::Map(example()));
+        let at = at % body.len();
+        body[at] = byte;
+        body.truncate(body.len() - cut % body.len());
+        let _ = JobSpec::parse(&body);
+    }
+}
--- /dev/null
+++ b/crates/proto/src/tests/wire.rs
@@ -0,0 +1,54 @@
+use super::*;
+use crate::cbor;
+
+#[test]
+fn reads_the_protocol_pages_report() {
+    let body = Value::serialized(&serde_value()).expect("value");
+    let report: Report = cbor::decode(&cbor::encode(&body)).expect("report");
+    assert_eq!(report.tasks[0].state, TaskState::Other);
+    assert_eq!(report.tasks[1].why, Some(Why::Done));
+    assert_eq!(report.notice_s, Some(7.0));
+}
+
+/// Integers where amounts are meant, an unknown state, unknown fields.
+fn serde_value() -> Value {
+    let t = |s: &str| Value::Text(s.into());
+    let map = |v: Vec<(&str, Value)>| Value::Map(v.into_iter().map(|(k, v)| (t(k), v)).collect());
+    let task = |stage: &str, cause: Value| {
+        map(vec![
+            ("piece", t("req-1/3")),
+            ("try", Value::from(2)),
+            ("stage", t(stage)),
+            ("cause", cause),
+        ])
+    };
+    map(vec![
+        ("barrow", t("n-1")),
+        ("addr", t("10.1.0.2:9000")),
+        ("build", t("g8")),
+        ("quarter", t("a")),
+        ("loaners", Value::Bool(true)),
+        ("shift", Value::from(1)),
+        ("tally", Value::from(88)),
+        ("baton", Value::from(41)),
+        ("warning_s", Value::from(7)),
+        ("new_field", Value::Null),
+        (
+            "pieces",
+            Value::Array(vec![task("something_new", Value::Null), task("ended", t("done"))]),
+        ),
+    ])
+}
+
+#[test]
+fn transactions_survive_a_round_trip() {
+    let txn = Txn {
+        conds: vec![Cond { key: "a".into(), version: 0 }],
+        writes: vec![
+            Write::Put { key: "a".into(), value: Value::from(1), grant: Some(7) },
+            Write::Delete { key: "b".into() },
+        ],
+    };
+    let back: Txn = cbor::decode(&cbor::encode(&txn)).expect("round trip");
+    assert_eq!(back, txn);
+}
