--- a/crates/rehearsal/src/fleet_of_cells.rs
+++ b/crates/rehearsal/src/fleet_of_cells.rs
@@ -141,6 +141,9 @@
     /// The cells that ever accepted a job from its home.
     accepted_by: BTreeMap<JobId, BTreeSet<usize>>,
     specs_shared: usize,
+    /// Since when jobs are offered to a cell that hasn't spoken.
+    in_doubt: BTreeMap<JobId, u32>,
+    times_in_doubt: Vec<u32>,
     events: VecDeque<String>,
 }
 
@@ -203,6 +206,8 @@
             next_call: 0,
             accepted_by: BTreeMap::new(),
             specs_shared: 0,
+            in_doubt: BTreeMap::new(),
+            times_in_doubt: Vec::new(),
             events: VecDeque::new(),
         }
     }
@@ -229,6 +234,26 @@
         self.digest
     }
 
+    /// How long each transfer that is settled was in doubt, in steps.
+    pub fn times_in_doubt(&self) -> Vec<u32> {
+        self.times_in_doubt.clone()
+    }
+
+    fn note_doubt(&mut self) {
+        let now: BTreeSet<JobId> = self.cells.iter().flat_map(World::in_doubt).collect();
+        for job in &now {
+            self.in_doubt.entry(job.clone()).or_insert(self.step);
+        }
+        let (step, times) = (self.step, &mut self.times_in_doubt);
+        self.in_doubt.retain(|job, since| {
+            let open = now.contains(job);
+            if !open {
+                times.push(step - *since);
+            }
+            open
+        });
+    }
+
     /// The last events before now.
     pub fn last_events(&self) -> Vec<String> {
         self.events.iter().cloned().collect()
@@ -245,6 +270,7 @@
         self.deliver();
         self.give_up();
         self.check();
+        self.note_doubt();
         self.collect_broken();
         self.note();
     }
--- a/crates/rehearsal/src/world/cells.rs
+++ b/crates/rehearsal/src/world/cells.rs
@@ -1,6 +1,7 @@
 //! What other cells see of this one, and bring to it.
 
 use super::*;
+use marblebarrow_proto::records::{SPECS, SpecRecord};
 
 impl World {
     /// Another cell's request reaches a controller.
@@ -62,6 +63,17 @@
             .filter_map(move |(key, _)| key.strip_prefix(prefix).map(JobId::new))
     }
 
+    /// Jobs whose records say that they are offered and not that they are accepted.
+    pub fn in_doubt(&self) -> Vec<JobId> {
+        let specs = self.kv.range(SPECS.to_owned()..);
+        let records = specs.take_while(|(key, _)| key.starts_with(SPECS));
+        records
+            .filter_map(|(_, (value, ..))| cbor::from_value::<SpecRecord>(value).ok())
+            .filter(|record| record.forward.as_ref().is_some_and(|forward| !forward.accepted))
+            .map(|record| record.spec.id)
+            .collect()
+    }
+
     /// Keys under a prefix.
     pub fn keys_under(&self, prefix: &str) -> usize {
         self.kv.keys().filter(|key| key.starts_with(prefix)).count()
