--- a/crates/core/src/cells/home.rs
+++ b/crates/core/src/cells/home.rs
@@ -1,35 +1,26 @@
 //! Jobs of this cell that move to others.
 
 use super::{Call, Pending, Retry, cond, put};
-use crate::cells::Cells;
 use crate::consts::STORE_RETRY_S;
-use crate::event::{Action, ActionSink, OpId, Secs, StoreRequest, StoreResult, TaskCounts};
+use crate::event::{Action, ActionSink, Secs, StoreRequest, StoreResult, TaskCounts};
 use crate::jobs::Job;
 use crate::leader::Leader;
 use crate::replica::Replica;
 use marblebarrow_cells::choice::Choice;
-use marblebarrow_cells::message::{
-    CellError, CellReply, CellRequest, Exchange, ExchangeReply, GuestState, Offer, Sender,
-};
-use marblebarrow_cells::outbound::{DueOffer, REFUSALS_MAX, Settlement, finished_for};
+use marblebarrow_cells::message::{CellRequest, Exchange, Offer, Sender};
+use marblebarrow_cells::outbound::{DueOffer, REFUSALS_MAX, finished_for};
 use marblebarrow_proto::cbor::from_value;
 use marblebarrow_proto::ids::{CellName, JobId};
 use marblebarrow_proto::job::JobSpec;
 use marblebarrow_proto::records::{EndRecord, SpecRecord, end_key, progress_key, spec_key};
-use marblebarrow_proto::transfer::{
-    AcknowledgeRecord, ForwardRecord, acknowledge_key, cancel_wanted_key,
-};
-use marblebarrow_proto::wire::{Txn, Write};
+use marblebarrow_proto::transfer::ForwardRecord;
+use marblebarrow_proto::wire::Txn;
 use std::sync::Arc;
 
 /// Seconds between two looks for jobs that may move: they wait for many more already.
 const LOOK_EVERY_S: f64 = 0.5;
-/// Seconds between two rounds in which records of no more use are dropped.
-const DROP_EVERY_S: f64 = 1.0;
-/// Changes of the store that the intent of a transfer and its settlement take.
+/// Changes of the store that the intent of a transfer takes.
 const INTENT_CHANGES: f64 = 1.0;
-/// Changes that the end of a job elsewhere takes.
-const FINISH_CHANGES: f64 = 4.0;
 
 impl Leader {
     /// A job's record may say that it is elsewhere.
@@ -211,7 +202,7 @@
         }
     }
 
-    fn read_again(&mut self, job: JobId, out: &mut ActionSink) {
+    pub(super) fn read_again(&mut self, job: JobId, out: &mut ActionSink) {
         let Some(cells) = &mut self.cells else { return };
         let op = out.store(StoreRequest::Get(spec_key(&job)));
         cells.pending.insert(op, Pending::Reread { job });
@@ -261,7 +252,7 @@
         }
     }
 
-    fn closed_elsewhere(&mut self, now: Secs, job: &JobId, cancelled: bool, tasks: u32) {
+    pub(super) fn closed_elsewhere(&mut self, now: Secs, job: &JobId, cancelled: bool, tasks: u32) {
         if let Some(cells) = &mut self.cells {
             cells.outbound.forget(job);
         }
@@ -319,210 +310,4 @@
             out.actions.push(Action::CellCall { op, cell, request });
         }
     }
-
-    /// Another cell answered, or didn't.
-    pub(crate) fn cell_answered(
-        &mut self,
-        now: Secs,
-        op: OpId,
-        answer: Result<Box<CellReply>, CellError>,
-        replica: &Replica,
-        out: &mut ActionSink,
-    ) {
-        let Some(cells) = &mut self.cells else { return };
-        match (cells.calls.remove(&op), answer.map(|reply| *reply)) {
-            (Some(Call::Offer { job, transfer, .. }), answer) => {
-                let reply = match answer {
-                    Ok(CellReply::Offer(reply)) => Some(reply),
-                    _ => None,
-                };
-                let settled = cells.outbound.offer_answered(now, &job, &transfer, reply.as_ref());
-                if let Some(settlement) = settled {
-                    self.settle(&settlement, out);
-                }
-            }
-            (Some(Call::Exchange { cell, sent }), answer) => {
-                cells.outbound.exchange_answered(&cell);
-                if let Ok(CellReply::Exchange(reply)) = answer {
-                    self.exchanged(now, &cell, sent, reply, replica, out);
-                }
-            }
-            (None, _) => {}
-        }
-    }
-
-    /// Makes a cell's word on an offer durable.
-    fn settle(&mut self, settlement: &Settlement, out: &mut ActionSink) {
-        let (Settlement::Accepted(id) | Settlement::Refused(id, _)) = settlement;
-        let Some(job) = self.jobs.get(id) else { return };
-        let mut record = SpecRecord::clone(&job.record);
-        match settlement {
-            Settlement::Accepted(_) => {
-                if let Some(forward) = &mut record.forward {
-                    forward.accepted = true;
-                }
-            }
-            Settlement::Refused(_, reason) => {
-                self.log.push(|| format!("event=transfer_refused job={id} why={reason:?}"));
-                record.forward = None;
-                record.refusals += 1;
-                if let Some(cells) = &mut self.cells {
-                    cells.counts.refusals_received += 1;
-                }
-            }
-        }
-        self.write_settlement(id, record, out);
-    }
-
-    fn write_settlement(&mut self, id: &JobId, record: SpecRecord, out: &mut ActionSink) {
-        let Some(job) = self.jobs.get(id) else { return };
-        let mut writes = vec![put(spec_key(id), &record)];
-        if record.forward.is_none() {
-            // The user asks again, and is answered here then.
-            writes.push(Write::Delete { key: cancel_wanted_key(id) });
-        }
-        let txn = Txn { conds: vec![cond(spec_key(id), job.spec_version)], writes };
-        let (job, record) = (id.clone(), Box::new(record));
-        self.commit_for_cells(txn, |_| Pending::Settle { job, record }, out);
-    }
-
-    /// A settlement was made durable, or not: then the cell is asked again, and says the same.
-    pub(super) fn settled(
-        &mut self,
-        now: Secs,
-        job: JobId,
-        record: SpecRecord,
-        result: &StoreResult,
-        out: &mut ActionSink,
-    ) {
-        match result {
-            StoreResult::Committed(version) => self.learn_record(now, &Arc::new(record), *version),
-            StoreResult::Refused => self.settle_later(now, &job),
-            _ => self.read_again(job, out),
-        }
-    }
-
-    fn settle_later(&mut self, now: Secs, job: &JobId) {
-        if let Some(cells) = &mut self.cells {
-            cells.outbound.settle_again(now + STORE_RETRY_S, job);
-        }
-    }
-
-    fn exchanged(
-        &mut self,
-        now: Secs,
-        cell: &CellName,
-        sent: Secs,
-        reply: ExchangeReply,
-        replica: &Replica,
-        out: &mut ActionSink,
-    ) {
-        let Some(cells) = &mut self.cells else { return };
-        cells.book.take(cell, reply.capacity, sent);
-        let mut over = Vec::new();
-        for status in reply.statuses {
-            let end = cells.outbound.status(cell, &status.job, &status.transfer, status.state);
-            over.extend(end.map(|end| (status.job, end)));
-        }
-        for (job, end) in over {
-            self.finish_elsewhere(now, &job, end, out);
-        }
-        let drops: Vec<(JobId, u64)> = reply
-            .dropped
-            .into_iter()
-            .filter_map(|job| {
-                let (record, version) = replica.acknowledge.get(&job)?;
-                (record.target == *cell).then_some((job, *version))
-            })
-            .collect();
-        for (job, version) in drops {
-            self.drop_record(acknowledge_key(&job), version, out);
-        }
-    }
-
-    /// Drops a record of no more use, if the store's rate allows it; else with a later
-    /// exchange.
-    pub(super) fn drop_record(&mut self, key: String, version: u64, out: &mut ActionSink) {
-        if !self.writer.afford(INTENT_CHANGES) {
-            return;
-        }
-        let conds = vec![cond(key.clone(), version)];
-        let txn = Txn { conds, writes: vec![Write::Delete { key }] };
-        self.commit_for_cells(txn, |_| Pending::Drop, out);
-    }
-
-    /// A job that is elsewhere is over there, durably: so it becomes here, before anybody is
-    /// told.
-    fn finish_elsewhere(&mut self, now: Secs, id: &JobId, end: GuestState, out: &mut ActionSink) {
-        let forward = self.jobs.get(id).and_then(|job| job.record.forward.clone());
-        let (Some(forward), Some(job)) = (forward, self.jobs.get(id)) else { return };
-        let (version, tasks) = (job.spec_version, job.spec().tasks);
-        if !self.writer.afford(FINISH_CHANGES) {
-            return self.settle_later(now, id);
-        }
-        let cancelled = end == GuestState::Cancelled;
-        let acknowledge = AcknowledgeRecord { transfer: forward.transfer, target: forward.target };
-        let txn = Txn {
-            conds: vec![cond(spec_key(id), version), cond(end_key(id), 0)],
-            writes: vec![
-                put(end_key(id), &EndRecord { cancelled, tasks }),
-                put(acknowledge_key(id), &acknowledge),
-                Write::Delete { key: spec_key(id) },
-                Write::Delete { key: cancel_wanted_key(id) },
-            ],
-        };
-        let job = id.clone();
-        self.commit_for_cells(txn, |_| Pending::Finish { job, cancelled, tasks }, out);
-    }
-
-    /// The end of a job that was elsewhere is durable here, or not yet.
-    pub(super) fn finish_written(
-        &mut self,
-        now: Secs,
-        job: JobId,
-        cancelled: bool,
-        tasks: u32,
-        result: &StoreResult,
-        out: &mut ActionSink,
-    ) {
-        match result {
-            StoreResult::Committed(_) => self.closed_elsewhere(now, &job, cancelled, tasks),
-            StoreResult::Refused => self.settle_later(now, &job),
-            // Perhaps it is there already.
-            _ => self.read_again(job, out),
-        }
-    }
-
-    /// Jobs with a cell that an operator declared lost come home.
-    pub(super) fn take_back_from_lost(&mut self, replica: &Replica, out: &mut ActionSink) {
-        let Some(cells) = &mut self.cells else { return };
-        if replica.lost_cells.is_empty() {
-            return;
-        }
-        let lost: Vec<JobId> = cells
-            .outbound
-            .iter()
-            .filter(|(_, open)| replica.lost_cells.contains(&open.record.target))
-            .map(|(job, _)| job.clone())
-            .collect();
-        for id in lost {
-            let free = self.cells.as_mut().is_some_and(|cells| cells.outbound.begin_settling(&id));
-            let Some(job) = self.jobs.get(&id).filter(|_| free) else { continue };
-            let mut record = SpecRecord::clone(&job.record);
-            record.forward = None;
-            self.log.push(|| format!("event=taken_back job={id}"));
-            self.write_settlement(&id, record, out);
-        }
-    }
-}
-
-impl Cells {
-    /// Whether it is time to drop records of no more use.
-    pub(super) fn drop_due(&mut self, now: Secs) -> bool {
-        let due = now >= self.next_drop;
-        if due {
-            self.next_drop = now + DROP_EVERY_S;
-        }
-        due
-    }
 }
--- a/crates/core/src/cells/mod.rs
+++ b/crates/core/src/cells/mod.rs
@@ -1,11 +1,13 @@
-//! Transfers to and from other cells, as the leader carries them out: `home` for jobs of
-//! this cell, `target` for jobs of others, `room` for what this cell can offer.
+//! Transfers to and from other cells, as the leader carries them out: `home` offers jobs of
+//! this cell, `settle` makes the answers durable, `target` is for jobs of others, `room` for
+//! what this cell can offer.
 //!
 //! A transfer's truth is in the state service. What is under way here may be lost with the
 //! leader at any moment: the next one finds the records and goes on from them.
 
 mod home;
 mod room;
+mod settle;
 mod target;
 
 use crate::event::{ActionSink, OpId, ReplyTo, Secs, StoreRequest, StoreResult};
