Log at info who leads and why, and starts whose fate is unknown; bounded per second

Lines now have a level: won, lost (with reason), the leader that the watch shows, starts in doubt, cancellations that leave such starts with the time left, and counters once a minute are info lines, 20 a second at most, the rest counted; on what a command rests (term, revision, age of knowledge, authority) is a debug line.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -76,6 +76,17 @@
 /// Wait after a failed attempt to stand, seconds.
 pub const STAND_RETRY_S: f64 = 0.4;
 
+// --- log --------------------------------------------------------------------
+
+/// Info lines a second at most, in the mean: a zone of a thousand machines that is cut off
+/// makes as many starts doubtful at once, and a log of them all helps nobody. A line costs
+/// some 10 us of a core, so this is 0.02%.
+pub const INFO_LINES_PER_S: f64 = 20.0;
+/// Info lines that may come at once.
+pub const INFO_LINES_BURST: f64 = 60.0;
+/// How often a leader tells its counters of doubtful starts, seconds.
+pub const DOUBT_LOG_S: f64 = 60.0;
+
 // --- state service --------------------------------------------------------
 
 /// Consecutive failures after which the store counts as refusing us.
--- a/crates/core/src/election.rs
+++ b/crates/core/src/election.rs
@@ -15,6 +15,7 @@
 use marblebarrow_proto::records::{LEADER, LeaderRecord, TERM, TermRecord};
 use marblebarrow_proto::wire::{Cond, Txn, Write};
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 /// A leadership.
 #[derive(Debug, Clone)]
@@ -69,7 +70,34 @@
     /// We lead from now on.
     Won,
     /// We no longer lead.
-    Lost,
+    Lost(LossReason),
+}
+
+/// Why a leadership ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossReason {
+    /// Gave up the office: all workers fell silent at once.
+    WorkersUnreachable,
+    /// Gave up the office: the copy of the store got too old.
+    OutOfDate,
+    /// The state service no longer knows the lease of the leader key.
+    LeaseGone,
+    /// The watch showed another leader.
+    Superseded,
+    /// A transaction failed as the leader key had changed.
+    Deposed,
+}
+
+impl fmt::Display for LossReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::WorkersUnreachable => "workers_unreachable",
+            Self::OutOfDate => "out_of_date",
+            Self::LeaseGone => "lease_gone",
+            Self::Superseded => "superseded",
+            Self::Deposed => "deposed",
+        })
+    }
 }
 
 /// The election as one controller sees it.
@@ -271,11 +299,16 @@
 
     /// Gives up the office so that a controller that workers can reach may
     /// take it.
-    pub fn resign(&mut self, now: Secs, out: &mut ActionSink) -> LeadershipChange {
+    pub fn resign(
+        &mut self,
+        now: Secs,
+        reason: LossReason,
+        out: &mut ActionSink,
+    ) -> LeadershipChange {
         if let Some(held) = self.leadership() {
             out.store(StoreRequest::Revoke(held.grant));
         }
-        let turn = self.lose(now);
+        let turn = self.lose(now, reason);
         self.not_before = self.not_before.max(now + RESIGNED_S);
         turn
     }
@@ -401,7 +434,7 @@
                 self.touch_failing = false;
                 LeadershipChange::None
             }
-            StoreResult::NoGrant => self.lose(now),
+            StoreResult::NoGrant => self.lose(now, LossReason::LeaseGone),
             _ => {
                 self.next_touch = now + STORE_RETRY_S;
                 self.touch_failing = true;
@@ -411,11 +444,11 @@
     }
 
     /// Gives up a leadership.
-    pub fn lose(&mut self, now: Secs) -> LeadershipChange {
+    pub fn lose(&mut self, now: Secs, reason: LossReason) -> LeadershipChange {
         let led = self.leadership().is_some();
         self.touch = None;
         self.fall_back(now);
-        if led { LeadershipChange::Lost } else { LeadershipChange::None }
+        if led { LeadershipChange::Lost(reason) } else { LeadershipChange::None }
     }
 
     /// The watched leader key changed.
@@ -429,7 +462,7 @@
                 // removal; the touch will find out.
                 None if !replica.synced => LeadershipChange::None,
                 None => LeadershipChange::None,
-                Some(_) => self.lose(now),
+                Some(_) => self.lose(now, LossReason::Superseded),
             },
             Role::Standing { grant, since, term, .. } => {
                 let (grant, since, term) = (*grant, *since, *term);
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -38,6 +38,17 @@
     pub doubtful: bool,
 }
 
+/// What a leader's decisions rest on.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Knowledge {
+    /// Every cancellation that was confirmed to a user before then is known, seconds.
+    pub known_at: Secs,
+    /// The copy of the store is whole up to this revision.
+    pub revision: u64,
+    /// The leader may act until then, as of its last news of the store, seconds.
+    pub authority_until: Secs,
+}
+
 /// A leader in office.
 #[derive(Debug)]
 pub struct Leader {
@@ -80,6 +91,9 @@
     next_progress: Secs,
     progress_rounds: u32,
     progress_sent: BTreeMap<JobId, TaskCounts>,
+    /// What its decisions rest on.
+    pub knowledge: Knowledge,
+    pub(crate) next_doubt_log: Secs,
     /// Lines for the log: what was decided, and why.
     pub log: Log,
 }
@@ -125,6 +139,8 @@
             next_progress: 0.0,
             progress_rounds: 0,
             progress_sent: BTreeMap::new(),
+            knowledge: Knowledge::default(),
+            next_doubt_log: now + DOUBT_LOG_S,
             log,
         };
         leader.start_loading(out);
@@ -152,6 +168,7 @@
             self.drain_noticed(now);
             self.check_reach(now);
             self.unplace(now);
+            self.log_doubts(now);
         }
         let pause = PLACE_EVERY_S.max(self.machines.len() as f64 * PLACE_PER_MACHINE_S);
         let placing = self.place_due && now >= self.placed_at + pause;
@@ -267,6 +284,7 @@
         for n in unsent {
             self.over(id, n, Outcome::Lost, now);
         }
+        self.note_cancelled(now, id);
         self.writer.close(id, now);
         self.place_due = true;
     }
@@ -464,6 +482,9 @@
                     live.phase = Phase::Ready;
                 }
             }
+            if unknown {
+                self.note_doubtful_start(now, &task, &sent.machine, sent.session);
+            }
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 mod cloud_requests;
 pub mod consts;
 mod deprovision;
+mod doubts;
 pub mod election;
 pub mod event;
 pub mod facts;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -1,10 +1,11 @@
 //! One controller: events and time in, actions out.
 
 use crate::consts::*;
-use crate::election::{Election, LeadershipBounds, LeadershipChange};
+use crate::election::{Election, LeadershipBounds, LeadershipChange, LossReason};
 use crate::event::*;
 use crate::facts::Facts;
-use crate::leader::Leader;
+use crate::leader::{Knowledge, Leader};
+use crate::log::{Log, LogLine};
 use crate::replica::{Change, Replica};
 use crate::user_api::{RequestContext, UserApi};
 use marblebarrow_cells::message::{CellError, CellReply, CellRequest, Exchange};
@@ -33,13 +34,16 @@
     /// When the next step was asked for.
     due: Secs,
     peers_ok: BTreeMap<NodeId, (Secs, bool)>,
-    log: Vec<String>,
+    /// The leader and its term, as last logged.
+    leader_shown: Option<(NodeId, u64)>,
+    log: Log,
 }
 
 impl Node {
     /// A fresh process. `boot` is random and tells it from earlier ones.
     pub fn new(facts: Facts, boot: u64, now: Secs) -> Self {
         let facts = Arc::new(facts);
+        let log = Log::new(facts.log);
         let election = Election::new(facts.node.clone(), facts.others.clone(), boot, now).founded();
         Self {
             facts,
@@ -57,7 +61,8 @@
             next_heartbeat: now,
             due: now,
             peers_ok: BTreeMap::new(),
-            log: Vec::new(),
+            leader_shown: None,
+            log,
         }
     }
 
@@ -67,8 +72,8 @@
     }
 
     /// Decisions since the last call, for the log.
-    pub fn take_log(&mut self) -> Vec<String> {
-        let mut log = std::mem::take(&mut self.log);
+    pub fn take_log(&mut self) -> Vec<LogLine> {
+        let mut log = self.log.take();
         if let Some(l) = &mut self.leader {
             log.append(&mut l.log.take());
         }
@@ -114,6 +119,16 @@
         }
     }
 
+    /// Tells the leader how far its knowledge of cancellations reaches; only once it has been
+    /// told them all, as it takes a cancellation that is news for one confirmed since.
+    fn note_knowledge(&mut self) {
+        let (known_at, revision) = (self.known_at(), self.replica.revision);
+        let authority_until = self.authority().map_or(0.0, |(_, until)| until);
+        if let Some(l) = &mut self.leader {
+            l.knowledge = Knowledge { known_at, revision, authority_until };
+        }
+    }
+
     // Serves the store well enough to keep our grant, and yet doesn't tell what is
     // new, and soon we may not act for it: another's watch may fare better.
     fn out_of_date(&self, now: Secs) -> bool {
@@ -146,6 +161,7 @@
                 let changes = self.replica.apply(news);
                 for change in &changes {
                     if matches!(change, Change::Leader | Change::All) {
+                        self.note_leader(now);
                         let turn = self.election.leader_changed(now, &self.replica);
                         self.change_leadership(now, turn);
                     }
@@ -153,6 +169,7 @@
                         l.change(now, wall_ms, change, &self.replica);
                     }
                 }
+                self.note_knowledge();
             }
             Event::Cloud(op, result) => {
                 if self.types_op == Some(op) {
@@ -197,14 +214,10 @@
             && !self.facts.others.is_empty()
         {
             // The store alone still hears us: someone else should lead.
-            self.log.push("event=resign why=workers_unreachable".into());
-            let turn = self.election.resign(now, &mut self.out);
-            self.change_leadership(now, turn);
+            self.resign(now, LossReason::WorkersUnreachable);
         }
         if self.out_of_date(now) {
-            self.log.push("event=resign why=out_of_date".into());
-            let turn = self.election.resign(now, &mut self.out);
-            self.change_leadership(now, turn);
+            self.resign(now, LossReason::OutOfDate);
         }
         if self.may_act(now)
             && let Some(l) = &mut self.leader
@@ -236,6 +249,27 @@
         }
     }
 
+    /// Logs whom the watch shows as leader, if that is news.
+    fn note_leader(&mut self, now: Secs) {
+        let shown =
+            self.replica.leader.as_ref().map(|(record, _)| (record.node.clone(), record.term));
+        if shown == self.leader_shown {
+            return;
+        }
+        match &shown {
+            Some((node, term)) => {
+                self.log.info(now, || format!("event=leader node={node} term={term}"));
+            }
+            None => self.log.info(now, || "event=no_leader".into()),
+        }
+        self.leader_shown = shown;
+    }
+
+    fn resign(&mut self, now: Secs, reason: LossReason) {
+        let turn = self.election.resign(now, reason, &mut self.out);
+        self.change_leadership(now, turn);
+    }
+
     fn heard(&self, now: Secs, peer: Option<&NodeId>) -> bool {
         let at = peer.and_then(|p| self.peers_ok.get(p)).map(|&(at, _)| at);
         peer.is_none() || at.is_some_and(|at| now - at < HEARTBEAT_FRESH_S)
@@ -321,7 +355,7 @@
         if let Some(l) = &mut self.leader
             && !l.store(now, wall_ms, op, result, &self.replica, &mut self.out)
         {
-            let turn = self.election.lose(now);
+            let turn = self.election.lose(now, LossReason::Deposed);
             self.change_leadership(now, turn);
         }
     }
@@ -331,15 +365,18 @@
             LeadershipChange::None => {}
             LeadershipChange::Won => {
                 if let Some(held) = self.election.leadership().cloned() {
-                    self.log.push(format!("event=won term={}", held.term.0));
+                    self.log.info(now, || format!("event=won term={}", held.term.0));
                     let facts = self.facts.clone();
                     self.leader =
                         Some(Leader::new(facts, held.term, held.version, now, &mut self.out));
+                    self.note_knowledge();
                 }
             }
-            LeadershipChange::Lost => {
-                self.log.push("event=lost".into());
-                self.leader = None;
+            LeadershipChange::Lost(reason) => {
+                let Some(mut leader) = self.leader.take() else { return };
+                self.log.append(leader.log.take());
+                let term = leader.term.0;
+                self.log.info(now, || format!("event=lost term={term} why={reason}"));
             }
         }
     }
@@ -366,6 +403,7 @@
                     self.learn_cancelled(now, id, *revision);
                 }
                 self.election.pledged(node, sent, &answer);
+                self.note_knowledge();
             }
             PeerNews::Progress(jobs) => self.learn_progress(jobs),
         }
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -93,9 +93,25 @@
                 starts.push(task.clone());
             }
         }
+        self.log_commands(id, commands.len(), &starts);
         (commands, starts)
     }
 
+    /// Logs on what the permission rests to send commands to a machine.
+    fn log_commands(&mut self, id: &MachineId, commands: usize, starts: &[TaskId]) {
+        if commands == 0 {
+            return;
+        }
+        let (term, starts, knowledge) = (self.term.0, starts.len(), self.knowledge);
+        self.log.push(|| {
+            format!(
+                "event=commands machine={id} commands={commands} starts={starts} term={term} \
+                 revision={} known_at_s={:.2} authority_until_s={:.2}",
+                knowledge.revision, knowledge.known_at, knowledge.authority_until
+            )
+        });
+    }
+
     /// Sends directly what shouldn't wait for the next report.
     pub(crate) fn push_direct(&mut self, now: Secs, out: &mut ActionSink) {
         if now < self.next_push {
--- a/crates/rehearsal/src/world/controllers.rs
+++ b/crates/rehearsal/src/world/controllers.rs
@@ -112,12 +112,15 @@
 
     pub(super) fn act(&mut self, n: usize) {
         let Some(node) = &mut self.hosts[n].node else { return };
-        let cordon = |l: &&String| l.contains("event=cordon");
+        let cordon = |l: &&LogLine| l.text.contains("event=cordon");
         let log = node.take_log();
         self.cordons += log.iter().filter(cordon).count();
+        let at = self.now();
+        let info = log.iter().filter(|line| line.level == Level::Info);
+        self.info.extend(info.map(|line| format!("t={at:.1} c{n} {}", line.text)));
         if self.cells.is_some() {
             let at = self.now();
-            self.events.extend(log.into_iter().map(|line| format!("t={at:.1} c{n} {line}")));
+            self.events.extend(log.into_iter().map(|line| format!("t={at:.1} c{n} {}", line.text)));
         }
         let boot = self.hosts[n].born;
         let actions = self.hosts[n].node.as_mut().map(Node::take_actions).unwrap_or_default();
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -17,6 +17,7 @@
 use marblebarrow_cells::settings::CellsSettings;
 use marblebarrow_core::event::*;
 use marblebarrow_core::facts::{Facts, Team, Tuning};
+use marblebarrow_core::log::{Level, LogLine};
 use marblebarrow_core::node::Node;
 use marblebarrow_proto::cbor;
 use marblebarrow_proto::ids::*;
@@ -267,6 +268,8 @@
     pub first_number: u32,
     /// Specs of jobs that other cells' users submitted.
     pub guest_specs: BTreeMap<JobId, JobSpec>,
+    /// What controllers logged at the `info` level.
+    pub info: Vec<String>,
     /// What controllers logged since this was last taken, if there are other cells.
     pub events: Vec<String>,
     /// Jobs that are in other cells.
@@ -407,6 +410,7 @@
             cells: None,
             first_number: 0,
             guest_specs: BTreeMap::new(),
+            info: Vec::new(),
             events: Vec::new(),
             elsewhere: BTreeSet::new(),
             newly_finished: Vec::new(),
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -8,6 +8,7 @@
 use marblebarrow_core::consts::{RETRY_FULL_S, RETRY_STORE_S};
 use marblebarrow_core::event::*;
 use marblebarrow_core::facts::Facts;
+use marblebarrow_core::log::{Level, LogLine};
 use marblebarrow_core::node::Node;
 use marblebarrow_proto::ids::{JobId, NodeId};
 use marblebarrow_proto::wire::Report;
@@ -289,9 +290,7 @@
             self.node.tick(now, wall_ms);
             let until = |at: Secs| self.clock.at(at);
             self.authority.set(self.node.authority().map(|(term, at)| (term, until(at))));
-            for line in self.node.take_log() {
-                tracing::debug!("{line}");
-            }
+            self.node.take_log().iter().for_each(write_line);
             for action in self.node.take_actions() {
                 self.act(now, action);
             }
@@ -373,6 +372,13 @@
     }
 }
 
+fn write_line(line: &LogLine) {
+    match line.level {
+        Level::Info => tracing::info!("{}", line.text),
+        Level::Debug => tracing::debug!("{}", line.text),
+    }
+}
+
 #[cfg(test)]
 #[path = "tests/owner.rs"]
 mod tests;
