Reproduce the incident: a start held for a minute is carried out after its cancellation

Need: no test met a direct command held for longer than cancelled tasks may take: lost ones came up to 12 s late, and cancel_s is 20 s there.

--- a/crates/core/tests/cluster/main.rs
+++ b/crates/core/tests/cluster/main.rs
@@ -3,11 +3,12 @@
 //! The rules are checked at every start, stop and answer.
 
 mod gap;
+mod held_commands;
 mod large_fleet;
 mod meetings;
 
 use marblebarrow_proto::ids::JobId;
-use marblebarrow_rehearsal::world::{Met, Trouble, World};
+use marblebarrow_rehearsal::world::{Held, Met, Trouble, World};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -35,10 +36,18 @@
         (0usize..8, 1u32..400).prop_map(|(m, s)| Trouble::MachineCut(m, s)),
         (0usize..8).prop_map(Trouble::MachineDies),
         (1u32..200).prop_map(Trouble::CloudDown),
+        held_commands(),
     ];
     (10u32..500, kind)
 }
 
+/// Single direct commands and answers are held, for less and more than a cancellation's time.
+fn held_commands() -> impl Strategy<Value = Trouble> {
+    (2u32..12, 1u32..300, 1u32..700, 1u32..400).prop_map(|(one_in, least, more, steps)| {
+        Trouble::HeldCommands(Held { one_in, least, most: least + more }, steps)
+    })
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 128,
@@ -79,6 +88,7 @@
         (0usize..8, 1u32..300).prop_map(|(m, s)| Trouble::MachineMute(m, s)),
         (0usize..8, 1u32..200).prop_map(|(m, s)| Trouble::MachineHangs(m, s)),
         (1u32..150).prop_map(Trouble::AllMute),
+        held_commands(),
     ];
     (10u32..500, kind)
 }
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -5,13 +5,14 @@
 mod checks;
 mod cloud;
 mod controllers;
+mod direct;
 mod store;
 mod troubles;
 mod users;
 mod workers;
 
 pub use store::StoreWork;
-pub use troubles::Trouble;
+pub use troubles::{Held, Trouble};
 
 use marblebarrow_cells::message::{CellError, CellReply, CellRequest};
 use marblebarrow_cells::settings::CellsSettings;
@@ -83,6 +84,17 @@
     tasks: BTreeMap<TaskId, Running>,
 }
 
+/// A direct command on its way.
+struct DirectOnWay {
+    node: usize,
+    boot: f64,
+    op: OpId,
+    machine: MachineId,
+    cmd: DirectCommands,
+    /// Whether its sender still waits for the answer.
+    answer: bool,
+}
+
 enum Late {
     /// A store request takes effect, and its answer comes unless lost.
     Store {
@@ -97,14 +109,7 @@
         boot: f64,
         event: Event,
     },
-    Direct {
-        node: usize,
-        boot: f64,
-        op: OpId,
-        machine: MachineId,
-        cmd: DirectCommands,
-        answer: bool,
-    },
+    Direct(DirectOnWay),
     Report {
         node: usize,
         report: Report,
@@ -140,6 +145,17 @@
     Cell(u64),
 }
 
+/// What becomes of a direct command on its way.
+#[derive(Clone, Copy, PartialEq)]
+enum Passage {
+    /// It arrives, and its answer does.
+    Answered,
+    /// Its sender gives it up; it arrives so many steps later, at least and fewer than.
+    Late { least: u32, most: u32 },
+    /// It arrives at once; its answer comes after its sender has given it up.
+    AnswerLate,
+}
+
 /// A request to another cell.
 #[derive(Clone, Debug)]
 pub struct OutgoingCall {
@@ -201,6 +217,13 @@
     pub outages_without_leader: Vec<u32>,
     /// Starts of jobs bound to a zone.
     pub zoned_starts: u32,
+    /// Direct commands that arrived after their sender had given them up.
+    pub late_commands: u32,
+    /// Starts in such commands that arrived in the session they were sent to, after their
+    /// job's tasks had to be gone: nothing but the token can keep them from being carried out.
+    pub starts_past_cancellation: u32,
+    /// Direct commands carried out whose answer came after their sender had given it up.
+    pub late_answers: u32,
 }
 
 /// Numbers of one cell's jobs.
@@ -232,6 +255,8 @@
     looks_until: u32,
     cancel_ends_until: u32,
     storm_until: u32,
+    /// How direct commands are held up, and until when.
+    held: Option<(Held, u32)>,
     /// Reports kept for the next leader.
     kept: Vec<(Report, f64)>,
     /// Jobs to be looked at closely, and since when.
@@ -380,6 +405,7 @@
             keep_until: 0,
             looks_until: 0,
             cancel_ends_until: 0,
+            held: None,
             kept: Vec::new(),
             looks: Vec::new(),
             called_off: BTreeSet::new(),
