A start in doubt is taken back by a higher fencing token before it could come too late

Cause: a start that went unanswered is a right under a token and a session that nothing took back while both lived: the worker stayed in touch, so its lease never ended it, and the command was carried out 56 to 70 s after it was sent, its job long cancelled.

Change: the leader keeps such starts by machine (start_doubts), raises the stored term again on condition of its leader key (fencing), and answers just the machines concerned with that token (revocation); a worker that has shown it refuses all older commands and its list is whole. Where no transaction goes through, a machine's lease is renewed only as long as it can still run out before the job's tasks must be gone. Entries that couldn't be cleared and booked room are freed the same way, so machines are no longer drained for them.

--- a/crates/core/src/cells/mod.rs
+++ b/crates/core/src/cells/mod.rs
@@ -11,7 +11,7 @@
 mod target;
 
 use crate::event::{ActionSink, OpId, ReplyTo, Secs, StoreRequest, StoreResult};
-use crate::leader::Leader;
+use crate::leader::{Leader, WriteOutcome};
 use crate::replica::Replica;
 use marblebarrow_cells::capacity::{CapacityBook, CapacityReport};
 use marblebarrow_cells::inbound::Inbound;
@@ -79,17 +79,6 @@
     }
 }
 
-/// Whose answer of the store it was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum CellsWritten {
-    /// Another part's.
-    NotOurs,
-    /// Ours.
-    Ours,
-    /// Ours, and it shows that another leads.
-    NotLeading,
-}
-
 /// A leader's part in transfers.
 #[derive(Debug)]
 pub(crate) struct Cells {
@@ -181,14 +170,14 @@
         result: &StoreResult,
         replica: &Replica,
         out: &mut ActionSink,
-    ) -> CellsWritten {
+    ) -> WriteOutcome {
         let Some(pending) = self.cells.as_mut().and_then(|cells| cells.pending.remove(&op)) else {
-            return CellsWritten::NotOurs;
+            return WriteOutcome::NotOurs;
         };
         if let StoreResult::Conflict(keys) = result
             && keys.iter().any(|key| key == records::LEADER)
         {
-            return CellsWritten::NotLeading;
+            return WriteOutcome::NotLeading;
         }
         match pending {
             Pending::Intent { job, txn, record } => {
@@ -212,7 +201,7 @@
             }
             Pending::DeclareLost { reply } => Self::loss_written(reply, result, out),
         }
-        CellsWritten::Ours
+        WriteOutcome::Ours
     }
 
     /// What an operator is shown.
--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -76,6 +76,12 @@
 /// Wait after a failed attempt to stand, seconds.
 pub const STAND_RETRY_S: f64 = 0.4;
 
+/// Least time between two raises of the fencing token while a cancelled job's start is in
+/// doubt, seconds: one change of the store each, and all machines in doubt by then share it.
+pub const RAISE_CANCELLED_EVERY_S: f64 = 1.0;
+/// The same where only booked room, or an entry that can't be cleared, waits for it, seconds.
+pub const RAISE_EVERY_S: f64 = 3.0;
+
 // --- log --------------------------------------------------------------------
 
 /// Info lines a second at most, in the mean: a zone of a thousand machines that is cut off
--- a/crates/core/src/deprovision.rs
+++ b/crates/core/src/deprovision.rs
@@ -183,7 +183,7 @@
                 spare_only.push(id.clone());
             }
             let idle_now = m.tasks.is_empty()
-                && m.exited.keys().all(|k| m.keep.contains(k))
+                && m.exited.keys().all(|k| m.start_doubts.contains(k))
                 && m.direct.is_none()
                 && !m.releasing
                 && m.confirmed
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::consts::*;
 use crate::event::{OpId, Secs};
+use crate::start_doubts::StartDoubts;
 use marblebarrow_proto::ids::{Attempt, MachineId, TaskId};
 use marblebarrow_proto::records::MachineRecord;
 use marblebarrow_proto::wire::{MachineType, Why};
@@ -67,9 +68,13 @@
     pub direct: Option<OpId>,
     /// Direct commands aren't tried before that.
     pub direct_after: Secs,
-    /// Attempts that must stay uncleared: a start command for them may still
-    /// arrive, and would run them again.
-    pub keep: BTreeSet<(TaskId, Attempt)>,
+    /// Starts that may yet be carried out. Their attempts must stay uncleared: a late start
+    /// would run them again.
+    pub start_doubts: StartDoubts,
+    /// The token for it, if it is higher than the term; else 0.
+    pub raised_token: u64,
+    /// Its reports aren't answered, so that its lease runs out.
+    pub withheld: bool,
     /// Tasks seen that nobody knows, with their attempt.
     pub strangers: BTreeSet<(TaskId, Attempt)>,
     /// CPUs, GPUs, memory in use by tasks that run or may run.
@@ -128,7 +133,9 @@
             exited: BTreeMap::new(),
             direct: None,
             direct_after: 0.0,
-            keep: BTreeSet::new(),
+            start_doubts: StartDoubts::default(),
+            raised_token: 0,
+            withheld: false,
             strangers: BTreeSet::new(),
             used: [0.0; 3],
             services: 0,
@@ -152,6 +159,7 @@
             && self.lapsed.is_none()
             && !self.cordoned
             && !self.releasing
+            && !self.withheld
             && self.notice.is_none()
     }
 
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -112,6 +112,9 @@
     pub queue: Option<u8>,
     /// Cancelled: stop all, start nothing.
     pub cancelled: bool,
+    /// No user was told of the cancellation before then; known if this leader knew the job
+    /// before it was cancelled.
+    pub cancelled_at: Option<Secs>,
     /// Offered to another cell, or there, or about to be: start nothing.
     pub away: bool,
     /// Its last transaction is under way.
@@ -171,6 +174,7 @@
             runs: (0, 0.0),
             queue,
             cancelled: false,
+            cancelled_at: None,
             away: false,
             closing: false,
             rooted: false,
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -2,7 +2,7 @@
 //! `reports` and `orders` (workers), `place`, `gangs` and `preempt` (who runs
 //! where), `writer` (records), `cloud_requests`, `provision` and `deprovision` (machines).
 
-use crate::cells::{Cells, CellsWritten};
+use crate::cells::Cells;
 use crate::cloud_requests::CloudRequests;
 use crate::consts::*;
 use crate::event::{
@@ -10,12 +10,15 @@
     TaskCounts,
 };
 use crate::facts::Facts;
+use crate::fencing::FencingToken;
 use crate::fleet::Machines;
 use crate::jobs::{Job, Outcome, Phase};
 use crate::log::Log;
 use crate::place::{Demand, QueueSnapshot};
 use crate::recover::Loading;
 use crate::replica::{Change, Replica};
+use crate::revocation::RevocationCounters;
+use crate::start_doubts::AttemptKey;
 use crate::writer::Writer;
 use marblebarrow_proto::ids::{JobId, MachineId, TaskId, Term};
 use marblebarrow_proto::job::Kind;
@@ -26,14 +29,28 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+/// What an answer of the state service was about, seen from one part of the leader.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WriteOutcome {
+    /// Another part's.
+    NotOurs,
+    /// Ours.
+    Ours,
+    /// Ours, and it shows that another leads.
+    NotLeading,
+}
+
 /// Direct commands under way.
 #[derive(Debug)]
 pub(crate) struct DirectSent {
     pub machine: MachineId,
     pub session: u64,
+    pub token: u64,
+    /// When it was sent.
+    pub at: Secs,
     /// Session and number of the newest message known at sending.
     pub known: (u64, u64),
-    pub starts: Vec<TaskId>,
+    pub starts: Vec<AttemptKey>,
     /// The machine didn't answer the last.
     pub doubtful: bool,
 }
@@ -93,6 +110,11 @@
     progress_sent: BTreeMap<JobId, TaskCounts>,
     /// What its decisions rest on.
     pub knowledge: Knowledge,
+    pub(crate) fencing: FencingToken,
+    /// Machines with starts in doubt.
+    pub(crate) doubtful_machines: BTreeSet<MachineId>,
+    /// What came of them.
+    pub revocations: RevocationCounters,
     pub(crate) next_doubt_log: Secs,
     /// Lines for the log: what was decided, and why.
     pub log: Log,
@@ -140,6 +162,9 @@
             progress_rounds: 0,
             progress_sent: BTreeMap::new(),
             knowledge: Knowledge::default(),
+            fencing: FencingToken::new(term.0, version),
+            doubtful_machines: BTreeSet::new(),
+            revocations: RevocationCounters::default(),
             next_doubt_log: now + DOUBT_LOG_S,
             log,
         };
@@ -168,6 +193,7 @@
             self.drain_noticed(now);
             self.check_reach(now);
             self.unplace(now);
+            self.revoke_doubts(now, out);
             self.log_doubts(now);
         }
         let pause = PLACE_EVERY_S.max(self.machines.len() as f64 * PLACE_PER_MACHINE_S);
@@ -269,6 +295,7 @@
             return;
         }
         job.cancelled = true;
+        job.cancelled_at = Some(self.knowledge.known_at);
         job.again.clear();
         let mut unsent = Vec::new();
         for (&n, live) in &mut job.live {
@@ -284,7 +311,7 @@
         for n in unsent {
             self.over(id, n, Outcome::Lost, now);
         }
-        self.note_cancelled(now, id);
+        self.doubts_cancelled(now, id);
         self.writer.close(id, now);
         self.place_due = true;
     }
@@ -369,7 +396,7 @@
         };
         m.exited.clear();
         m.strangers.clear();
-        m.keep.clear();
+        m.start_doubts.clear();
         for task in m.tasks.clone() {
             self.over(&task.job, task.index, Outcome::Lost, now);
         }
@@ -402,10 +429,14 @@
             self.loaded(now, wall_ms, op, result, replica, out);
             return true;
         }
-        match self.cells_written(now, wall_ms, op, &result, replica, out) {
-            CellsWritten::NotOurs => self.written(now, op, result, out),
-            CellsWritten::Ours => true,
-            CellsWritten::NotLeading => false,
+        let mut outcome = self.token_answered(now, op, &result, out);
+        if outcome == WriteOutcome::NotOurs {
+            outcome = self.cells_written(now, wall_ms, op, &result, replica, out);
+        }
+        match outcome {
+            WriteOutcome::NotOurs => self.written(now, op, result, out),
+            WriteOutcome::Ours => true,
+            WriteOutcome::NotLeading => false,
         }
     }
 
@@ -450,7 +481,9 @@
             self.cloud_requests.release.insert(sent.machine);
             return;
         }
-        let unknown = result == DirectResult::Unknown;
+        if result == DirectResult::Unknown {
+            self.doubt_starts(now, &sent);
+        }
         let Some(m) = self.machines.get_mut(&sent.machine) else {
             return;
         };
@@ -470,21 +503,20 @@
                 }
             }
         }
-        for task in sent.starts {
+        for key in sent.starts {
+            let (task, attempt) = &key;
             let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
             if let Some(live) = live
                 && live.machine == sent.machine
+                && live.attempt == *attempt
             {
-                // May still arrive, minutes later: it is in doubt, and its
-                // attempt must never be cleared while the session lasts.
-                live.doubt |= unknown;
+                // May still arrive, minutes later: it is in doubt until the worker has shown
+                // a higher token, and its attempt must not be cleared before.
+                live.doubt = m.start_doubts.contains(&key);
                 if live.phase == Phase::Sent {
                     live.phase = Phase::Ready;
                 }
             }
-            if unknown {
-                self.note_doubtful_start(now, &task, &sent.machine, sent.session);
-            }
         }
     }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -110,6 +110,11 @@
         Some((term, served_until.max(refused_until)))
     }
 
+    /// The highest token that a leadership of ours may use besides its term.
+    pub fn highest_token(&self) -> u64 {
+        self.leader.as_ref().map_or(0, Leader::highest_token)
+    }
+
     /// Every cancellation confirmed by then is known to us.
     fn known_at(&self) -> Secs {
         if self.replica.is_complete() {
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -4,6 +4,7 @@
 use crate::event::{Action, ActionSink, Secs};
 use crate::jobs::{Job, Phase};
 use crate::leader::{DirectSent, Leader};
+use crate::start_doubts::AttemptKey;
 use marblebarrow_proto::ids::{MachineId, TaskId};
 use marblebarrow_proto::wire::{Command, Why};
 use std::cmp::Ordering;
@@ -54,7 +55,7 @@
     }
 
     /// The commands a machine should get now: stops, clears, then starts.
-    pub(crate) fn compose(&mut self, id: &MachineId) -> (Vec<Command>, Vec<TaskId>) {
+    pub(crate) fn compose(&mut self, id: &MachineId) -> (Vec<Command>, Vec<AttemptKey>) {
         let mut commands = self.stops(id, |_| true);
         let mut starts = Vec::new();
         let Some(m) = self.machines.get_mut(id) else {
@@ -67,7 +68,7 @@
                 None => true,
                 Some(j) => *why != Why::Done || j.stored_finished.contains(task.index),
             };
-            if safe && !m.keep.contains(key) {
+            if safe && !m.start_doubts.contains(key) {
                 commands.push(Command::Forget { task: task.to_string(), attempt: *attempt });
             }
         }
@@ -90,7 +91,7 @@
             if live.stop.is_none() && matches!(live.phase, Phase::Placed | Phase::Ready) {
                 live.phase = Phase::Sent;
                 commands.push(Command::Start { task: task.to_string(), attempt: live.attempt });
-                starts.push(task.clone());
+                starts.push((task.clone(), live.attempt));
             }
         }
         self.log_commands(id, commands.len(), &starts);
@@ -98,7 +99,7 @@
     }
 
     /// Logs on what the permission rests to send commands to a machine.
-    fn log_commands(&mut self, id: &MachineId, commands: usize, starts: &[TaskId]) {
+    fn log_commands(&mut self, id: &MachineId, commands: usize, starts: &[AttemptKey]) {
         if commands == 0 {
             return;
         }
@@ -154,19 +155,23 @@
             if probe_due || commands.iter().any(is_urgent) {
                 doubtful += usize::from(doubt);
                 // An unknown session is refused, with the report we want.
-                self.send_direct(&id, session.max(1), commands, starts, out);
+                self.send_direct(now, &id, session.max(1), commands, starts, out);
             }
         }
     }
 
     pub(crate) fn send_direct(
         &mut self,
+        now: Secs,
         id: &MachineId,
         session: u64,
         commands: Vec<Command>,
-        starts: Vec<TaskId>,
+        starts: Vec<AttemptKey>,
         out: &mut ActionSink,
     ) {
+        let Some(token) = self.machines.get(id).map(|m| self.token_for(m)) else {
+            return;
+        };
         let Some(m) = self.machines.get_mut(id) else {
             return;
         };
@@ -177,12 +182,13 @@
         out.actions.push(Action::Direct {
             op,
             addr: m.info.addr.clone(),
-            token: self.term.0,
+            token,
             session,
             commands,
         });
-        self.directs
-            .insert(op, DirectSent { machine: id.clone(), session, known, starts, doubtful });
+        let machine = id.clone();
+        let sent = DirectSent { machine, session, token, at: now, known, starts, doubtful };
+        self.directs.insert(op, sent);
     }
 
     /// Machines that are heard but haven't shown for long that they hear us are
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -517,7 +517,9 @@
             return false;
         }
         let task = TaskId { job: id.clone(), index: n };
-        let mut listed: Vec<MachineId> = Vec::new();
+        // Where an ended attempt of the task is still listed it would be refused. It is cleared
+        // within seconds, once no start of it is in doubt any more.
+        let mut listed = false;
         let mut best: Option<(PlaceScore, &MachineId)> = None;
         for (mid, free) in &pass.rooms {
             if !fits(spec, free) {
@@ -533,7 +535,7 @@
                 continue;
             }
             if m.exited.keys().any(|(e, _)| *e == task) {
-                listed.push(mid.clone());
+                listed = true;
                 continue;
             }
             // First machines on which the job didn't fail, with the image (or
@@ -557,10 +559,8 @@
             }
         }
         let Some(machine) = best.map(|(_, mid)| mid.clone()) else {
-            if listed.is_empty() {
+            if !listed {
                 pass.failed.extend(shape);
-            } else if images == Images::Any && pass.only.is_none() {
-                self.drain_kept(&task, &listed);
             }
             return false;
         };
@@ -569,21 +569,6 @@
         true
     }
 
-    /// Room is only where an attempt of the task must stay listed, lest a late
-    /// copy of its start runs it again. That lasts as long as the worker's
-    /// session, so such a machine gets no more work and is returned.
-    fn drain_kept(&mut self, task: &TaskId, listed: &[MachineId]) {
-        for id in listed {
-            if let Some(m) = self.machines.get_mut(id)
-                && m.keep.iter().any(|(t, _)| t == task)
-                && !m.cordoned
-            {
-                m.cordoned = true;
-                self.log.push(|| format!("event=cordon machine={id} kept={task}"));
-            }
-        }
-    }
-
     pub(crate) fn new_attempt(&mut self) -> Attempt {
         self.next_attempt += 1;
         Attempt::new(self.term, self.next_attempt)
--- a/crates/core/src/reports.rs
+++ b/crates/core/src/reports.rs
@@ -23,13 +23,12 @@
         if self.released_machines.contains_key(&report.machine) {
             return None;
         }
-        let token = self.term.0;
         if self.loading.is_some() {
             // Leases go on; machines are counted from when loading ends. That may
             // take as long as an outage of the store does, so what is known to be
             // cancelled is stopped even now.
             let commands = stops_while_loading(report, replica);
-            return Some(Answer::Report(ReportAnswer { token, commands }));
+            return Some(Answer::Report(ReportAnswer { token: self.term.0, commands }));
         }
         // Who was the last to report is the first to know better: an older
         // report is a copy that came late, its sender gave it up long ago, and
@@ -55,10 +54,12 @@
         self.apply_report(now, report);
         self.note_gap(now, report);
         let m = self.machines.get_mut(&report.machine)?;
-        if m.lapsed.is_some() {
+        if m.lapsed.is_some() || !self.may_renew(now, &report.machine) {
             return None;
         }
+        let m = self.machines.get_mut(&report.machine)?;
         m.answered = now;
+        m.withheld = false;
         if self.backlog && m.free()[0] + 1e-9 >= self.least_cpus {
             // What comes free is filled at once, in the same answer if the
             // start is recorded already.
@@ -67,7 +68,7 @@
         let m = self.machines.get_mut(&report.machine)?;
         let commands = if m.direct.is_none() {
             let (commands, starts) = self.compose(&report.machine);
-            for task in starts {
+            for (task, _) in starts {
                 let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
                 if let Some(live) = live {
                     live.sent = Some(now);
@@ -80,6 +81,7 @@
             // answer that renews their lease must carry it.
             self.stops(&report.machine, |job| job.is_none_or(|j| j.cancelled))
         };
+        let token = self.machines.get(&report.machine).map(|m| self.token_for(m))?;
         Some(Answer::Report(ReportAnswer { token, commands }))
     }
 
@@ -140,6 +142,7 @@
             m.reached = None;
             m.reported = 0;
             m.last_report = None;
+            m.withheld = false;
         }
         if m.heard.is_none() || m.lapsed.is_some() || m.session != report.session {
             self.place_due = true;
@@ -172,6 +175,7 @@
         m.probe_due = m.reached.is_none();
         m.exited.clear();
         m.strangers.clear();
+        self.revoke_shown(now, id);
         let mut listed = BTreeSet::new();
         for entry in &report.tasks {
             self.apply_task(now, id, entry, &mut listed);
@@ -193,6 +197,7 @@
             return;
         };
         let key = (task.clone(), entry.attempt);
+        m.start_doubts.note_listed(&key);
         let Some(job) = self.jobs.get_mut(&task.job).filter(|j| task.index < j.spec().tasks) else {
             // Over and closed, or never ours.
             if entry.state == TaskState::Exited {
@@ -206,9 +211,6 @@
         let ours = job.live.get(&n).is_some_and(|l| l.machine == *id && l.attempt == entry.attempt);
         if entry.state == TaskState::Exited {
             let why = entry.why.unwrap_or(Why::Other);
-            if ours && job.live.get(&n).is_some_and(|l| l.doubt) {
-                m.keep.insert(key.clone());
-            }
             if ours {
                 m.reached = Some(now);
             }
--- /dev/null
+++ b/crates/core/src/revocation.rs
@@ -0,0 +1,270 @@
+//! Taking back starts whose fate is unknown, by raising the token of their machines.
+//!
+//! A machine with a start in doubt that is of no more use is answered with a token higher than
+//! the start carried. The worker takes it in with the same answer that renews its lease, so
+//! every renewal also ends the doubt. Until a higher token is there, its lease may be renewed
+//! only as long as it can still run out before the tasks of the cancelled job must be gone;
+//! then answers are withheld, and the end of the session takes the start back.
+
+use crate::consts::*;
+use crate::event::{ActionSink, OpId, Secs, StoreResult};
+use crate::fencing::RaiseOutcome;
+use crate::fleet::Machine;
+use crate::jobs::Phase;
+use crate::leader::{DirectSent, Leader, WriteOutcome};
+use crate::start_doubts::StartDoubt;
+use marblebarrow_proto::ids::{JobId, MachineId};
+
+/// Counters of starts in doubt since the leader took office.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RevocationCounters {
+    /// Starts that became doubtful.
+    pub doubtful: u64,
+    /// Tokens raised.
+    pub raised: u64,
+    /// Starts taken back, as their worker showed a higher token.
+    pub revoked: u64,
+    /// Answers withheld, lest they renew a lease for too long.
+    pub withheld: u64,
+}
+
+/// How urgently a higher token is wanted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Urgency {
+    /// Booked room, or an entry that can't be cleared, waits for it.
+    Room,
+    /// A cancelled job's start could be carried out too late.
+    Cancellation,
+}
+
+impl Leader {
+    /// The token for commands and answers to a machine: the term, unless it was raised there.
+    pub(crate) fn token_for(&self, machine: &Machine) -> u64 {
+        let shown = machine.token.min(self.fencing.highest());
+        self.term.0.max(machine.raised_token).max(shown)
+    }
+
+    /// The highest token that this leader may use.
+    pub fn highest_token(&self) -> u64 {
+        self.fencing.highest()
+    }
+
+    /// Direct commands went unanswered: their starts are in doubt while the worker may still
+    /// take their token.
+    pub(crate) fn doubt_starts(&mut self, now: Secs, sent: &DirectSent) {
+        let Some(m) = self.machines.get_mut(&sent.machine) else { return };
+        let over = m.lapsed.is_some() || m.session != sent.session || m.token > sent.token;
+        if over || sent.starts.is_empty() {
+            return;
+        }
+        for key in &sent.starts {
+            let (task, attempt) = key;
+            let job = self.jobs.get(&task.job);
+            let cancelled_at = match job {
+                Some(job) => job.cancelled_at,
+                // Closed since; it wasn't known to be cancelled when this was sent.
+                None => Some(sent.at - self.facts.replica_age_limit()),
+            };
+            let listed = m.exited.contains_key(key)
+                || job.and_then(|j| j.live.get(&task.index)).is_some_and(|live| {
+                    live.attempt == *attempt && matches!(live.phase, Phase::Seen | Phase::Running)
+                });
+            let doubt = StartDoubt { token: sent.token, since: sent.at, cancelled_at, listed };
+            m.start_doubts.note(key.clone(), doubt);
+            self.revocations.doubtful += 1;
+            let (machine, session, token) = (&sent.machine, sent.session, sent.token);
+            self.log.info(now, || {
+                format!(
+                    "event=start_in_doubt task={task} attempt={} machine={machine} \
+                     session={session} token={token}",
+                    attempt.0
+                )
+            });
+        }
+        self.doubtful_machines.insert(sent.machine.clone());
+    }
+
+    /// A worker has shown a token: starts that carried a lower one are taken back.
+    pub(crate) fn revoke_shown(&mut self, now: Secs, id: &MachineId) {
+        let Some(m) = self.machines.get_mut(id).filter(|m| !m.start_doubts.is_empty()) else {
+            return;
+        };
+        let shown = m.token;
+        let revoked = m.start_doubts.revoke(shown);
+        if revoked.is_empty() {
+            return;
+        }
+        for (task, attempt) in &revoked {
+            let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
+            if let Some(live) = live.filter(|l| l.machine == *id && l.attempt == *attempt) {
+                live.doubt = false;
+            }
+        }
+        self.revocations.revoked += revoked.len() as u64;
+        self.log.info(now, || {
+            format!("event=revoked machine={id} token={shown} starts={}", revoked.len())
+        });
+    }
+
+    /// Starts of a job that is cancelled now are to be taken back.
+    pub(crate) fn doubts_cancelled(&mut self, now: Secs, id: &JobId) {
+        let known_at = self.knowledge.known_at;
+        let mut starts = 0;
+        for machine in &self.doubtful_machines {
+            if let Some(m) = self.machines.get_mut(machine) {
+                starts += m.start_doubts.cancel(id, known_at);
+            }
+        }
+        if starts > 0 {
+            let left = known_at + self.facts.cancel_s - now;
+            self.log.info(now, || {
+                format!("event=cancelled_in_doubt job={id} starts={starts} left_s={left:.1}")
+            });
+        }
+    }
+
+    /// Gives machines a higher token where that ends a doubt, and asks for one if there is
+    /// none yet.
+    pub(crate) fn revoke_doubts(&mut self, now: Secs, out: &mut ActionSink) {
+        let mut wanted: Option<Urgency> = None;
+        for id in std::mem::take(&mut self.doubtful_machines) {
+            let Some((urgency, token)) = self.doubt_to_end(&id) else {
+                if self.machines.get(&id).is_some_and(|m| !m.start_doubts.is_empty()) {
+                    self.doubtful_machines.insert(id);
+                }
+                continue;
+            };
+            let highest = self.fencing.highest();
+            if let Some(m) = self.machines.get_mut(&id) {
+                if highest > token {
+                    m.raised_token = highest;
+                    // Shown in the answer to a direct command sooner than in a report.
+                    m.probe_due |= urgency == Urgency::Cancellation;
+                } else {
+                    wanted = wanted.max(Some(urgency));
+                }
+            }
+            self.doubtful_machines.insert(id);
+        }
+        let Some(urgency) = wanted else { return };
+        let pause = match urgency {
+            Urgency::Cancellation => RAISE_CANCELLED_EVERY_S,
+            Urgency::Room => RAISE_EVERY_S,
+        };
+        let changes = self.fencing.raise(now, pause, out);
+        self.writer.charge(f64::from(changes));
+    }
+
+    /// The most urgent doubt on a machine that its present token doesn't end, and the highest
+    /// token that a start of such carried.
+    fn doubt_to_end(&self, id: &MachineId) -> Option<(Urgency, u64)> {
+        let m = self.machines.get(id)?;
+        if m.lapsed.is_some() || m.releasing {
+            return None;
+        }
+        let token = self.token_for(m);
+        let open = m.start_doubts.iter().filter(|(_, doubt)| doubt.token >= token);
+
+        let useless = open.filter_map(|((task, attempt), doubt)| {
+            if doubt.dangerous_since().is_some() {
+                return Some((Urgency::Cancellation, doubt.token));
+            }
+            let live = self.jobs.get(&task.job).and_then(|j| j.live.get(&task.index));
+            let wanted = live.is_some_and(|l| l.attempt == *attempt && l.stop.is_none());
+            (!wanted).then_some((Urgency::Room, doubt.token))
+        });
+        useless.reduce(|a, b| (a.0.max(b.0), a.1.max(b.1)))
+    }
+
+    /// The state service answered. Whether that was about the token.
+    pub(crate) fn token_answered(
+        &mut self,
+        now: Secs,
+        op: OpId,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) -> WriteOutcome {
+        match self.fencing.answered(now, op, result, out) {
+            RaiseOutcome::NotOurs => WriteOutcome::NotOurs,
+            RaiseOutcome::NotYet => WriteOutcome::Ours,
+            RaiseOutcome::NotLeading => WriteOutcome::NotLeading,
+            RaiseOutcome::Raised(token) => {
+                self.revocations.raised += 1;
+                let machines = self.doubtful_machines.len();
+                self.log.info(now, || {
+                    format!(
+                        "event=token_raised token={token} term={} doubtful_machines={machines}",
+                        self.term.0
+                    )
+                });
+                self.revoke_doubts(now, out);
+                WriteOutcome::Ours
+            }
+        }
+    }
+
+    /// Whether an answer may renew a machine's lease: it ends every doubtful start of a
+    /// cancelled job there, or the lease can still run out in time. Starts on their way count
+    /// as doubtful, as their answer may never come.
+    pub(crate) fn may_renew(&mut self, now: Secs, id: &MachineId) -> bool {
+        let Some(m) = self.machines.get(id) else { return true };
+        if m.start_doubts.is_empty() && m.direct.is_none() {
+            return true;
+        }
+        let token = self.token_for(m);
+        let doubts = m.start_doubts.iter().filter(|(_, doubt)| doubt.token >= token);
+        let doubted = doubts.filter_map(|(_, doubt)| doubt.dangerous_since());
+        let sent = m.direct.and_then(|op| self.directs.get(&op)).filter(|s| s.token >= token);
+        let sent = sent.into_iter().flat_map(|sent| &sent.starts);
+        let under_way = sent.filter_map(|(task, _)| self.jobs.get(&task.job)?.cancelled_at);
+        let Some(cancelled_at) = doubted.chain(under_way).reduce(f64::min) else { return true };
+        let until = cancelled_at + self.facts.cancel_room();
+        if now <= until {
+            return true;
+        }
+        self.withhold(now, id, cancelled_at);
+        false
+    }
+
+    fn withhold(&mut self, now: Secs, id: &MachineId, cancelled_at: Secs) {
+        self.revocations.withheld += 1;
+        let Some(m) = self.machines.get_mut(id) else { return };
+        if std::mem::replace(&mut m.withheld, true) {
+            return;
+        }
+        let left = cancelled_at + self.facts.cancel_s - now;
+        let term = self.term.0;
+        self.log.info(now, || {
+            format!("event=answers_withheld machine={id} left_s={left:.1} term={term}")
+        });
+    }
+
+    /// Logs the counters of starts in doubt.
+    pub(crate) fn log_doubts(&mut self, now: Secs) {
+        if now < self.next_doubt_log {
+            return;
+        }
+        self.next_doubt_log = now + DOUBT_LOG_S;
+        let in_doubt = || {
+            let machines = self.doubtful_machines.iter().filter_map(|id| self.machines.get(id));
+            machines.flat_map(|m| m.start_doubts.iter())
+        };
+        let starts = in_doubt().count();
+        let oldest = in_doubt().map(|(_, doubt)| now - doubt.since).fold(0.0, f64::max);
+        let cancelled = || in_doubt().filter_map(|(_, doubt)| doubt.dangerous_since());
+        let open = cancelled().count();
+        let earliest = cancelled().reduce(f64::min);
+        let least_left =
+            earliest.map_or("-".into(), |at| format!("{:.1}", at + self.facts.cancel_s - now));
+        let RevocationCounters { doubtful, raised, revoked, withheld } = self.revocations;
+        let (term, suppressed) = (self.term.0, self.log.suppressed());
+        self.log.info(now, || {
+            format!(
+                "event=doubts starts={starts} oldest_s={oldest:.1} cancelled_starts={open} \
+                 least_left_s={least_left} became_doubtful={doubtful} tokens_raised={raised} \
+                 revoked={revoked} answers_withheld={withheld} suppressed_lines={suppressed} \
+                 term={term}"
+            )
+        });
+    }
+}
--- a/crates/core/src/writer.rs
+++ b/crates/core/src/writer.rs
@@ -122,6 +122,11 @@
         affordable
     }
 
+    /// Counts changes that can't wait for the rate to allow them.
+    pub(crate) fn charge(&mut self, changes: f64) {
+        self.budget -= changes;
+    }
+
     /// Users' submissions and cancels changed so many keys.
     pub(crate) fn saw_user_changes(&mut self, changes: f64) {
         self.users += changes;
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -536,10 +536,15 @@
 
     /// Runs so many steps, then checks that all work was done.
     pub fn run(&mut self, steps: u32) {
+        self.play(steps);
+        self.check_over();
+    }
+
+    /// Runs so many steps.
+    pub fn play(&mut self, steps: u32) {
         while self.step < steps && self.broken.is_empty() {
             self.advance(steps);
         }
-        self.check_over();
     }
 
     /// One step of a run of so many.
--- a/src/owner.rs
+++ b/src/owner.rs
@@ -1,7 +1,7 @@
 //! The one owner of all state: takes events from a bounded queue in batches,
 //! feeds the core, and hands its actions to the links.
 
-use crate::authority::Authority;
+use crate::authority::{Authority, Held};
 use crate::limits::*;
 use crate::links::Links;
 use marblebarrow_cells::message::{CellError, CellReply, CellRequest};
@@ -288,8 +288,7 @@
             }
             let now = self.now();
             self.node.tick(now, wall_ms);
-            let until = |at: Secs| self.clock.at(at);
-            self.authority.set(self.node.authority().map(|(term, at)| (term, until(at))));
+            self.authority.set(self.held());
             self.node.take_log().iter().for_each(write_line);
             for action in self.node.take_actions() {
                 self.act(now, action);
@@ -298,6 +297,13 @@
         }
     }
 
+    /// The right to act, as of now.
+    fn held(&self) -> Option<Held> {
+        let (term, until) = self.node.authority()?;
+        let highest_token = self.node.highest_token().max(term);
+        Some(Held { term, highest_token, until: self.clock.at(until) })
+    }
+
     fn event(&mut self, message: Message) -> Option<Event> {
         let mut wait = |w| {
             self.next_reply += 1;
