Real controllers refuse a held start after its cancellation; no two leaders share a token

The cluster test reads all tokens that leaders took from their log lines: each is new, and who is elected has the highest.

The test of quiet watches counted leaders by the term, which a raise moves too; it counts how often the leader key was set instead: as strict, and exact.

--- a/crates/core/tests/cluster/held_commands.rs
+++ b/crates/core/tests/cluster/held_commands.rs
@@ -43,6 +43,36 @@
     assert!(raised >= 24, "{raised} tokens raised");
 }
 
+/// The tokens that leaders took, in the order in which they knew of it: those they were elected
+/// with, and those they raised.
+fn tokens(world: &World) -> Vec<(bool, u64)> {
+    let number = |line: &str, key: &str| -> Option<u64> {
+        line.split(' ').find_map(|word| word.strip_prefix(key))?.parse().ok()
+    };
+    let token = |line: &String| {
+        if line.contains("event=won ") {
+            return Some((true, number(line, "term=")?));
+        }
+        line.contains("event=token_raised ").then_some((false, number(line, "token=")?))
+    };
+    world.info.iter().filter_map(token).collect()
+}
+
+/// Whoever leads next has a higher token than any taken before, and no two ever have the same.
+#[test]
+fn no_two_leaders_ever_have_the_same_token() {
+    let raised = play(&leaders_end(), |world| {
+        let tokens = tokens(world);
+        for (i, (elected, token)) in tokens.iter().enumerate() {
+            let earlier = || tokens[..i].iter().map(|(_, token)| token);
+            assert!(earlier().all(|t| t != token), "{tokens:?}");
+            assert!(!elected || earlier().all(|t| t < token), "{tokens:?}");
+        }
+        tokens.iter().filter(|(elected, _)| !elected).count() as u32
+    });
+    assert!(raised >= 24, "{raised} tokens raised");
+}
+
 /// The same as leaders end, also within a second.
 #[test]
 fn held_starts_meet_changes_of_leader() {
--- a/tests/binary.rs
+++ b/tests/binary.rs
@@ -5,6 +5,7 @@
 mod stand_in;
 
 use marblebarrow_proto::cbor;
+use marblebarrow_proto::ids::JobId;
 use stand_in::{Cluster, Plan, WorkerTimes, job_body};
 use std::process::Command;
 
@@ -46,9 +47,9 @@
     cluster.until("req-000005", "running");
     cluster.until("req-000005", "done");
     // One change is let pass, lest a machine that stands still decide the verdict.
-    let (terms, watches) = (cluster.terms(), cluster.quiet_watches());
+    let (leaders, watches) = (cluster.leaders(), cluster.quiet_watches());
     cluster.wait_for("watches end", |c| c.quiet_watches() >= watches + QUIET_WATCHES);
-    assert!(cluster.terms() <= terms + 1, "{} leaders, then {}", terms, cluster.terms());
+    assert!(cluster.leaders() <= leaders + 1, "{leaders} leaders, then {}", cluster.leaders());
 
     cluster.submit("req-000015", "sweep", 4);
     cluster.end_holder("req-000015");
@@ -62,6 +63,32 @@
     assert_eq!(cluster.broken(), Vec::<String>::new());
 }
 
+/// A start goes unanswered, its job is cancelled, and the command arrives after the worker has
+/// heard of the leader again: the leader has raised the token by then, and goes on with it.
+#[test]
+fn a_start_held_on_its_way_is_refused_after_its_job_was_cancelled() {
+    let cluster = Cluster::start(3);
+    cluster.submit("req-000042", "daemon", 1);
+    cluster.until("req-000042", "running");
+    cluster.hold_start("req-000052");
+    cluster.submit("req-000052", "daemon", 1);
+    cluster.wait_for("a start is held", |c| c.held_start().is_some());
+    let held = cluster.held_start().expect("held");
+    assert_eq!(held.commands.token, cluster.term(), "sent under the leader's term");
+    assert_eq!(cluster.call("POST", "/api/jobs/req-000052/abort", &[]).0, 200);
+    cluster.wait_for("the worker has a higher token", |_| {
+        held.token_of_worker() > held.commands.token
+    });
+    cluster.until_gone("req-000052");
+    assert_eq!(held.deliver(), Some(409), "refused, long after it was sent");
+    assert_eq!(cluster.holds_tasks(&JobId::new("req-000052")), 0);
+    // The same leader goes on, with the higher token there: the machine takes its work.
+    cluster.submit("req-000061", "sweep", 4);
+    cluster.until("req-000061", "done");
+    cluster.until("req-000042", "running");
+    assert_eq!(cluster.broken(), Vec::<String>::new());
+}
+
 /// One answer of the store in five is garbage, cut off, announced far too long, or lost:
 /// jobs are done and cancelled all the same, and what was told stays true.
 #[test]
--- a/tests/stand_in/cluster.rs
+++ b/tests/stand_in/cluster.rs
@@ -5,10 +5,10 @@
 use super::inputs::{Plan, job_body, settings_text, stage};
 use super::store::{SharedStore, store_answer};
 use super::usage::Usage;
-use super::worker::Fleet;
+use super::worker::{Fleet, HeldCommand};
 use marblebarrow_proto::cbor;
 use marblebarrow_proto::ids::{JobId, TaskId};
-use marblebarrow_proto::records::{LEADER, LeaderRecord, TERM, TermRecord};
+use marblebarrow_proto::records::{LEADER, LeaderRecord};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
@@ -145,10 +145,23 @@
     }
 
     /// How many leaders there have been.
-    pub fn terms(&self) -> u64 {
-        let record = self.store.0.lock().expect("store").value(TERM);
-        let record: TermRecord = cbor::from_value(&record.expect("terms")).expect("record");
-        record.term
+    pub fn leaders(&self) -> usize {
+        self.store.0.lock().expect("store").puts_of(LEADER)
+    }
+
+    /// The term of the last leader.
+    pub fn term(&self) -> u64 {
+        self.leader().term
+    }
+
+    /// The next direct command that starts a task of the job goes unanswered and is kept.
+    pub fn hold_start(&self, job: &str) {
+        self.fleet.hold_start(job);
+    }
+
+    /// The command kept, once there is one.
+    pub fn held_start(&self) -> Option<HeldCommand> {
+        self.fleet.held_start()
     }
 
     /// How many watches have ended without news, those of all controllers.
--- a/tests/stand_in/store.rs
+++ b/tests/stand_in/store.rs
@@ -40,6 +40,11 @@
         puts.map(|(_, key, _)| key.clone()).collect()
     }
 
+    /// How often a key was put.
+    pub fn puts_of(&self, key: &str) -> usize {
+        self.history.iter().filter(|(_, put, value)| put == key && value.is_some()).count()
+    }
+
     /// How many keys there are under a prefix.
     pub fn keys_under(&self, prefix: &str) -> usize {
         self.kv.keys().filter(|key| key.starts_with(prefix)).count()
--- a/tests/stand_in/worker.rs
+++ b/tests/stand_in/worker.rs
@@ -1,6 +1,6 @@
 //! Stand-in of the workers.
 
-use super::http::{Connection, Reply, serve};
+use super::http::{Connection, Reply, ask, serve};
 use super::inputs::Plan;
 use marblebarrow_proto::cbor;
 use marblebarrow_proto::ids::{Attempt, JobId, MachineId, TaskId};
@@ -39,6 +39,33 @@
     next_name: AtomicUsize,
     jobs_run: Mutex<BTreeSet<JobId>>,
     completions: Mutex<BTreeMap<TaskId, u32>>,
+    /// The job of which a start is to be held.
+    hold: Mutex<Option<JobId>>,
+    held: Mutex<Option<HeldCommand>>,
+}
+
+/// A direct command that its worker never answered.
+#[derive(Clone)]
+pub struct HeldCommand {
+    /// Where it was sent.
+    addr: String,
+    /// What was sent.
+    pub commands: DirectCommands,
+}
+
+impl HeldCommand {
+    /// It arrives now; the status of its answer.
+    pub fn deliver(&self) -> Option<u16> {
+        let body = cbor::encode(&self.commands);
+        ask(&self.addr, "POST", "/do", &body, Duration::from_secs(5)).map(|(status, _)| status)
+    }
+
+    /// The highest token that the worker has seen.
+    pub fn token_of_worker(&self) -> u64 {
+        let answer = ask(&self.addr, "GET", "/show", &[], Duration::from_secs(5));
+        let report = answer.and_then(|(_, body)| cbor::decode::<Report>(&body).ok());
+        report.map_or(0, |report| report.token)
+    }
 }
 
 impl Fleet {
@@ -57,6 +84,32 @@
         self.completions.lock().expect("completions").clone()
     }
 
+    /// The next direct command that starts a task of the job goes unanswered and is kept.
+    pub fn hold_start(&self, job: &str) {
+        *self.hold.lock().expect("hold") = Some(JobId::new(job));
+    }
+
+    /// The command kept, once there is one.
+    pub fn held_start(&self) -> Option<HeldCommand> {
+        self.held.lock().expect("held").clone()
+    }
+
+    /// Keeps commands that are to be held; whether it did.
+    fn keep(&self, addr: &str, commands: &DirectCommands) -> bool {
+        let mut hold = self.hold.lock().expect("hold");
+        let starts = |command: &Command| {
+            let Command::Start { task, .. } = command else { return false };
+            TaskId::parse(task).is_some_and(|task| Some(&task.job) == hold.as_ref())
+        };
+        if !commands.commands.iter().any(starts) {
+            return false;
+        }
+        *hold = None;
+        let held = HeldCommand { addr: addr.to_owned(), commands: commands.clone() };
+        *self.held.lock().expect("held") = Some(held);
+        true
+    }
+
     /// Whether any machine holds a task of the job.
     pub fn holds(&self, job: &str) -> bool {
         self.on.lock().expect("fleet").iter().any(|(task, _)| task.job.as_str() == job)
@@ -230,13 +283,20 @@
         fleet: fleet.clone(),
     }));
     let shared = state.clone();
-    let addr = serve(move |_, _, body| {
+    let addr = serve(move |_, path, body| {
         let mut w = shared.lock().expect("worker");
         if w.fleet.has_ended(&w.id) {
             return Reply::Close;
         }
         w.settle();
+        if path == "/show" {
+            let report = w.report();
+            return Reply::Answer(200, cbor::encode(&report));
+        }
         let cmd: DirectCommands = cbor::decode(body).expect("commands");
+        if w.fleet.keep(&w.addr, &cmd) {
+            return Reply::Close;
+        }
         let good = cmd.token >= w.token && cmd.session == w.session;
         if good {
             w.token = cmd.token;
