Split the leader: attempts, and direct commands' answers, in modules of their own

Mechanical: cancel, over, attach and lose_tasks move to attempts.rs; the answer to a direct command to direct_results.rs, in steps of its own.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -81,10 +81,10 @@
 
 /// The cost of a takeover, from the end of one leader until the next has settled.
 fn takeover(cluster: &mut Cluster) {
-    let terms = cluster.terms();
+    let leaders = cluster.leaders();
     cluster.kill_leader();
     let mut before = cluster.usage();
-    cluster.wait_for("another leads", |c| c.terms() > terms);
+    cluster.wait_for("another leads", |c| c.leaders() > leaders);
     for stage in ["election", "takeover, first 0.5 s", "0.5 to 1 s", "1 to 2 s", "2 to 6 s"] {
         let now = cluster.usage();
         print_usage(stage, &before, &now, Duration::from_secs(1));
--- /dev/null
+++ b/crates/core/src/attempts.rs
@@ -0,0 +1,118 @@
+//! Attempts as the leader books them: where they may be, and when they are surely over.
+
+use crate::event::Secs;
+use crate::jobs::Outcome;
+use crate::leader::Leader;
+use marblebarrow_proto::ids::{JobId, MachineId, TaskId};
+use marblebarrow_proto::job::Kind;
+
+impl Leader {
+    /// A job was cancelled: nothing of it starts from now on, all of it stops.
+    pub(crate) fn cancel(&mut self, now: Secs, id: &JobId) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.cancelled {
+            return;
+        }
+        job.cancelled = true;
+        job.cancelled_at = Some(self.knowledge.known_at);
+        job.again.clear();
+        let mut unsent = Vec::new();
+        for (&n, live) in &mut job.live {
+            if live.never_sent(now) {
+                unsent.push(n);
+            } else {
+                live.stop = Some(0.0);
+                if let Some(m) = self.machines.get_mut(&live.machine) {
+                    m.push = true;
+                }
+            }
+        }
+        for n in unsent {
+            self.over(id, n, Outcome::Lost, now);
+        }
+        self.doubts_cancelled(now, id);
+        self.writer.close(id, now);
+        self.place_due = true;
+    }
+
+    /// An attempt is surely over: frees its place, and keeps the result.
+    pub(crate) fn over(&mut self, id: &JobId, n: u32, outcome: Outcome, now: Secs) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if let Some(live) = job.live.get(&n) {
+            let task = TaskId { job: id.clone(), index: n };
+            if let Some(m) = self.machines.get_mut(&live.machine)
+                && m.tasks.remove(&task)
+            {
+                let spec = job.record.spec.clone();
+                m.services -= u32::from(spec.kind == Kind::Service);
+                if !m.freed.remove(&task) {
+                    m.used[0] -= spec.cpus;
+                    m.used[1] -= spec.gpus;
+                    m.used[2] -= spec.memory_gb;
+                }
+                let image = &spec.image;
+                let waits = |t: &TaskId| {
+                    t.job == *id || self.jobs.get(&t.job).is_some_and(|j| j.spec().image == *image)
+                };
+                if m.fetching.contains_key(image) && !m.tasks.iter().any(waits) {
+                    // No task waits for it any more: the fetch is given up.
+                    m.fetching.remove(image);
+                }
+                if m.tasks.is_empty() {
+                    m.used = [0.0; 3];
+                    m.idle_since = now;
+                }
+            }
+        }
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        // While recovering, an earlier leader may have made a later attempt
+        // than the one that ended, on a machine not heard yet.
+        let earlier = job.live.get(&n).is_some_and(|l| (l.attempt.0 >> 32) < self.term.0);
+        job.over(n, outcome, now);
+        if self.recovering && earlier && outcome != Outcome::Done {
+            job.again.remove(&n);
+            job.maybe_running.insert(n);
+        }
+        if outcome == Outcome::Done {
+            self.writer.touch_task(id, n, now, false);
+            if job.complete() {
+                self.writer.close(id, now);
+            }
+        }
+        if job.cancelled {
+            self.writer.close(id, now);
+        }
+        self.place_due = true;
+    }
+
+    /// Books a place for an attempt on its machine.
+    pub(crate) fn attach(&mut self, id: &JobId, n: u32, machine: &MachineId) {
+        let (Some(job), Some(m)) = (self.jobs.get(id), self.machines.get_mut(machine)) else {
+            return;
+        };
+        if m.tasks.insert(TaskId { job: id.clone(), index: n }) {
+            let spec = job.spec();
+            m.services += u32::from(spec.kind == Kind::Service);
+            m.used[0] += spec.cpus;
+            m.used[1] += spec.gpus;
+            m.used[2] += spec.memory_gb;
+        }
+    }
+
+    /// Everything on a machine is surely gone.
+    pub(crate) fn lose_tasks(&mut self, machine: &MachineId, now: Secs) {
+        let Some(m) = self.machines.get_mut(machine) else {
+            return;
+        };
+        m.exited.clear();
+        m.strangers.clear();
+        m.start_doubts.clear();
+        for task in m.tasks.clone() {
+            self.over(&task.job, task.index, Outcome::Lost, now);
+        }
+    }
+}
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -1,26 +1,26 @@
-//! The leader's state and what moves it. Its parts: `recover` (taking over),
-//! `reports` and `orders` (workers), `place`, `gangs` and `preempt` (who runs
-//! where), `writer` (records), `cloud_requests`, `provision` and `deprovision` (machines).
+//! The leader's state and what moves it. Its parts: `recover` (taking over), `reports`,
+//! `orders` and `direct_results` (workers), `attempts` and `revocation` (what may run), `place`,
+//! `gangs` and `preempt` (who runs where), `writer` (records), `cloud_requests`, `provision`
+//! and `deprovision` (machines).
 
 use crate::cells::Cells;
 use crate::cloud_requests::CloudRequests;
 use crate::consts::*;
+use crate::direct_results::DirectSent;
 use crate::event::{
-    ActionSink, Answer, CloudResult, DirectResult, JobCounts, OpId, ReplyTo, Secs, StoreResult,
-    TaskCounts,
+    ActionSink, Answer, CloudResult, JobCounts, OpId, ReplyTo, Secs, StoreResult, TaskCounts,
 };
 use crate::facts::Facts;
 use crate::fencing::FencingToken;
 use crate::fleet::Machines;
-use crate::jobs::{Job, Outcome, Phase};
+use crate::jobs::Job;
 use crate::log::Log;
 use crate::place::{Demand, QueueSnapshot};
 use crate::recover::Loading;
 use crate::replica::{Change, Replica};
 use crate::revocation::RevocationCounters;
-use crate::start_doubts::AttemptKey;
 use crate::writer::Writer;
-use marblebarrow_proto::ids::{JobId, MachineId, TaskId, Term};
+use marblebarrow_proto::ids::{JobId, MachineId, Term};
 use marblebarrow_proto::job::Kind;
 use marblebarrow_proto::records::{EndRecord, SpecRecord};
 use marblebarrow_proto::wire::Report;
@@ -40,21 +40,6 @@
     NotLeading,
 }
 
-/// Direct commands under way.
-#[derive(Debug)]
-pub(crate) struct DirectSent {
-    pub machine: MachineId,
-    pub session: u64,
-    pub token: u64,
-    /// When it was sent.
-    pub at: Secs,
-    /// Session and number of the newest message known at sending.
-    pub known: (u64, u64),
-    pub starts: Vec<AttemptKey>,
-    /// The machine didn't answer the last.
-    pub doubtful: bool,
-}
-
 /// What a leader's decisions rest on.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Knowledge {
@@ -286,102 +271,6 @@
         self.place_due = true;
     }
 
-    /// A job was cancelled: nothing of it starts from now on, all of it stops.
-    pub(crate) fn cancel(&mut self, now: Secs, id: &JobId) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        if job.cancelled {
-            return;
-        }
-        job.cancelled = true;
-        job.cancelled_at = Some(self.knowledge.known_at);
-        job.again.clear();
-        let mut unsent = Vec::new();
-        for (&n, live) in &mut job.live {
-            if live.never_sent(now) {
-                unsent.push(n);
-            } else {
-                live.stop = Some(0.0);
-                if let Some(m) = self.machines.get_mut(&live.machine) {
-                    m.push = true;
-                }
-            }
-        }
-        for n in unsent {
-            self.over(id, n, Outcome::Lost, now);
-        }
-        self.doubts_cancelled(now, id);
-        self.writer.close(id, now);
-        self.place_due = true;
-    }
-
-    /// An attempt is surely over: frees its place, and keeps the result.
-    pub(crate) fn over(&mut self, id: &JobId, n: u32, outcome: Outcome, now: Secs) {
-        let Some(job) = self.jobs.get_mut(id) else {
-            return;
-        };
-        if let Some(live) = job.live.get(&n) {
-            let task = TaskId { job: id.clone(), index: n };
-            if let Some(m) = self.machines.get_mut(&live.machine)
-                && m.tasks.remove(&task)
-            {
-                let spec = job.record.spec.clone();
-                m.services -= u32::from(spec.kind == Kind::Service);
-                if !m.freed.remove(&task) {
-                    m.used[0] -= spec.cpus;
-                    m.used[1] -= spec.gpus;
-                    m.used[2] -= spec.memory_gb;
-                }
-                let image = &spec.image;
-                let waits = |t: &TaskId| {
-                    t.job == *id || self.jobs.get(&t.job).is_some_and(|j| j.spec().image == *image)
-                };
-                if m.fetching.contains_key(image) && !m.tasks.iter().any(waits) {
-                    // No task waits for it any more: the fetch is given up.
-                    m.fetching.remove(image);
-                }
-                if m.tasks.is_empty() {
-                    m.used = [0.0; 3];
-                    m.idle_since = now;
-                }
-            }
-        }
-        let Some(job) = self.jobs.get_mut(id) else { return };
-        // While recovering, an earlier leader may have made a later attempt
-        // than the one that ended, on a machine not heard yet.
-        let earlier = job.live.get(&n).is_some_and(|l| (l.attempt.0 >> 32) < self.term.0);
-        job.over(n, outcome, now);
-        if self.recovering && earlier && outcome != Outcome::Done {
-            job.again.remove(&n);
-            job.maybe_running.insert(n);
-        }
-        if outcome == Outcome::Done {
-            self.writer.touch_task(id, n, now, false);
-            if job.complete() {
-                self.writer.close(id, now);
-            }
-        }
-        if job.cancelled {
-            self.writer.close(id, now);
-        }
-        self.place_due = true;
-    }
-
-    /// Books a place for an attempt on its machine.
-    pub(crate) fn attach(&mut self, id: &JobId, n: u32, machine: &MachineId) {
-        let (Some(job), Some(m)) = (self.jobs.get(id), self.machines.get_mut(machine)) else {
-            return;
-        };
-        if m.tasks.insert(TaskId { job: id.clone(), index: n }) {
-            let spec = job.spec();
-            m.services += u32::from(spec.kind == Kind::Service);
-            m.used[0] += spec.cpus;
-            m.used[1] += spec.gpus;
-            m.used[2] += spec.memory_gb;
-        }
-    }
-
     /// Machines learn their size from their type.
     pub(crate) fn learn_types(&mut self) {
         for m in self.machines.values_mut() {
@@ -389,19 +278,6 @@
         }
     }
 
-    /// Everything on a machine is surely gone.
-    pub(crate) fn lose_tasks(&mut self, machine: &MachineId, now: Secs) {
-        let Some(m) = self.machines.get_mut(machine) else {
-            return;
-        };
-        m.exited.clear();
-        m.strangers.clear();
-        m.start_doubts.clear();
-        for task in m.tasks.clone() {
-            self.over(&task.job, task.index, Outcome::Lost, now);
-        }
-    }
-
     /// A worker reports.
     pub fn report(
         &mut self,
@@ -447,79 +323,6 @@
         }
     }
 
-    /// A worker answered direct commands, or didn't.
-    pub fn direct(&mut self, now: Secs, op: OpId, result: DirectResult) {
-        let Some(sent) = self.directs.remove(&op) else {
-            return;
-        };
-        let Some(m) = self.machines.get_mut(&sent.machine) else {
-            return;
-        };
-        if m.direct == Some(op) {
-            m.direct = None;
-        }
-        if matches!(result, DirectResult::Report(..)) {
-            m.reached = Some(now);
-            m.unreached = 0;
-            m.probe_due = false;
-        }
-        if let DirectResult::Report(_, report) = &result
-            && (report.session, report.seq) <= sent.known
-        {
-            // The answer to a question of ours can't be a late copy, and yet it
-            // counts from below what we knew: the worker itself began anew. Its
-            // numbers no longer tell old from new, and orders held back for the
-            // one before match its session, so nothing but its release proves
-            // what doesn't run there. (A copy of its former self's list once
-            // was believed, and a task ran twice.)
-            self.log.push(|| format!("event=reborn machine={} term={}", sent.machine, self.term.0));
-            m.reborn = true;
-            m.cordoned = true;
-            m.releasing = true;
-            m.probe_due = false;
-            m.answered = now;
-            self.cloud_requests.release.insert(sent.machine);
-            return;
-        }
-        if result == DirectResult::Unknown {
-            self.doubt_starts(now, &sent);
-        }
-        let Some(m) = self.machines.get_mut(&sent.machine) else {
-            return;
-        };
-        match result {
-            DirectResult::Report(_, report) => {
-                self.apply_report(now, &report);
-                self.place_due = true;
-                return;
-            }
-            DirectResult::NotSent | DirectResult::Unknown => {
-                m.unreached += 1;
-                m.direct_failed = Some(now);
-                let again = if m.unreached < PROBES { PROBE_AGAIN_S } else { DIRECT_BACKOFF_S };
-                m.direct_after = now + again;
-                if m.session != sent.session {
-                    return;
-                }
-            }
-        }
-        for key in sent.starts {
-            let (task, attempt) = &key;
-            let live = self.jobs.get_mut(&task.job).and_then(|j| j.live.get_mut(&task.index));
-            if let Some(live) = live
-                && live.machine == sent.machine
-                && live.attempt == *attempt
-            {
-                // May still arrive, minutes later: it is in doubt until the worker has shown
-                // a higher token, and its attempt must not be cleared before.
-                live.doubt = m.start_doubts.contains(&key);
-                if live.phase == Phase::Sent {
-                    live.phase = Phase::Ready;
-                }
-            }
-        }
-    }
-
     /// How far jobs are, for this controller's own answers and the peers'.
     /// (The leader's users once saw no progress: it was sent to peers only.)
     pub fn progress_updates(&mut self, now: Secs) -> Vec<JobCounts> {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,9 +1,11 @@
 //! The scheduler without input or output: events and time in, actions out.
 
+mod attempts;
 mod cells;
 mod cloud_requests;
 pub mod consts;
 mod deprovision;
+mod direct_results;
 pub mod election;
 pub mod event;
 pub mod facts;
--- a/crates/core/src/orders.rs
+++ b/crates/core/src/orders.rs
@@ -1,9 +1,10 @@
 //! Orders to workers, directly or in answers, whether they arrive, and leases.
 
 use crate::consts::*;
+use crate::direct_results::DirectSent;
 use crate::event::{Action, ActionSink, Secs};
 use crate::jobs::{Job, Phase};
-use crate::leader::{DirectSent, Leader};
+use crate::leader::Leader;
 use crate::start_doubts::AttemptKey;
 use marblebarrow_proto::ids::{MachineId, TaskId};
 use marblebarrow_proto::wire::{Command, Why};
--- a/crates/core/src/revocation.rs
+++ b/crates/core/src/revocation.rs
@@ -7,11 +7,12 @@
 //! then answers are withheld, and the end of the session takes the start back.
 
 use crate::consts::*;
+use crate::direct_results::DirectSent;
 use crate::event::{ActionSink, OpId, Secs, StoreResult};
 use crate::fencing::RaiseOutcome;
 use crate::fleet::Machine;
 use crate::jobs::Phase;
-use crate::leader::{DirectSent, Leader, WriteOutcome};
+use crate::leader::{Leader, WriteOutcome};
 use crate::start_doubts::StartDoubt;
 use marblebarrow_proto::ids::{JobId, MachineId};
 
