--- a/crates/rehearsal/src/held_commands.rs
+++ b/crates/rehearsal/src/held_commands.rs
@@ -2,7 +2,8 @@
 //!
 //! Three times over: with nothing else, as leaders end, and as the state service refuses the
 //! leader and is then down for longer than cancelled tasks may take, so that no token can be
-//! raised. Jobs are called off a second after they were accepted, or as they run.
+//! raised. Jobs are called off a second after they were accepted, as they run, and as
+//! their start is held.
 
 use crate::scenario::{Outcome, Scenario, Verdict};
 use crate::world::{Held, Trouble, World};
@@ -10,7 +11,7 @@
 use std::hash::{DefaultHasher, Hash as _, Hasher as _};
 
 /// How commands are held: longer than the world's cancelled tasks may take, which is 20 s.
-pub const HELD: Held = Held { one_in: 6, least: 150, most: 900 };
+pub const HELD: Held = Held { one_in: 6, least: 150, most: 900, called_off: true };
 /// How long a day lasts, steps.
 const STEPS: u32 = 2_200;
 /// Lines of the log that a failed rehearsal shows of each day.
--- a/crates/rehearsal/src/world/direct.rs
+++ b/crates/rehearsal/src/world/direct.rs
@@ -9,6 +9,9 @@
 /// Such a command is carried out within so many steps.
 const LOST_USUAL: u32 = 120;
 
+/// Jobs whose start is held are called off within so many steps, if they are.
+const CALLED_OFF_WITHIN: u32 = 20;
+
 impl World {
     /// A controller sends direct commands.
     pub(super) fn send_direct(
@@ -26,6 +29,7 @@
         self.flying[node] += 1;
         self.directs = self.directs.max(self.flying[node]);
         let passage = self.passage(node, &machine);
+        self.call_off_held(passage, &cmd);
         let answer = passage == Passage::Answered;
         if !answer {
             let event = Event::Direct(op, DirectResult::Unknown);
@@ -39,6 +43,20 @@
         self.after(delay, Late::Direct(DirectOnWay { node, boot, op, machine, cmd, answer }));
     }
 
+    /// Users call off jobs whose start is held, if they are to.
+    fn call_off_held(&mut self, passage: Passage, cmd: &DirectCommands) {
+        let wanted = self.held.is_some_and(|(held, until)| held.called_off && self.step < until);
+        if !wanted || !matches!(passage, Passage::Late { .. }) {
+            return;
+        }
+        for command in &cmd.commands {
+            let Command::Start { task, .. } = command else { continue };
+            let Some(task) = TaskId::parse(task) else { continue };
+            let at = self.step + self.rng.random_range(0..CALLED_OFF_WITHIN);
+            self.call_off_at.push((at, task.job));
+        }
+    }
+
     fn passage(&mut self, node: usize, machine: &MachineId) -> Passage {
         let cut = self.step < self.hosts[node].cut_until
             || self.parted(node, machine)
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -261,6 +261,8 @@
     kept: Vec<(Report, f64)>,
     /// Jobs to be looked at closely, and since when.
     looks: Vec<(JobId, u32)>,
+    /// Jobs that their users will want to call off, and when.
+    call_off_at: Vec<(u32, JobId)>,
     /// Jobs that their users want to call off now.
     called_off: BTreeSet<JobId>,
     /// A zone and its controller that are apart from the rest, and until when.
@@ -408,6 +410,7 @@
             held: None,
             kept: Vec::new(),
             looks: Vec::new(),
+            call_off_at: Vec::new(),
             called_off: BTreeSet::new(),
             last_term: 0,
             apart: ("", 0, 0),
--- a/crates/rehearsal/src/world/troubles.rs
+++ b/crates/rehearsal/src/world/troubles.rs
@@ -89,6 +89,8 @@
     pub least: u32,
     /// ... and fewer than so many.
     pub most: u32,
+    /// Whether users call off jobs whose start is held, within two seconds of its sending.
+    pub called_off: bool,
 }
 
 impl Trouble {
--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -100,6 +100,9 @@
             let due = self.accepted_at.iter().filter(due).map(|(id, _)| id.clone());
             self.called_off.extend(due);
         }
+        let due = |(at, _): &mut (u32, JobId)| *at <= step;
+        let due: Vec<(u32, JobId)> = self.call_off_at.extract_if(.., due).collect();
+        self.called_off.extend(due.into_iter().map(|(_, id)| id));
         if self.odd && step.is_multiple_of(40) {
             self.submit_odd();
         }
