Records of uncertain version are read three at a time, and hold up no others

Cause: a transaction without an answer leaves the versions of its records uncertain.

Change: three reads under way (one less than the store's threads); other records are written meanwhile; of a failed transaction only the records it failed on are read again. A record of a job that was closed meanwhile is removed.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -147,6 +147,10 @@
 pub const POLL_CHECK_SHARE: f64 = 0.3;
 /// Least time between two record transactions, seconds: a few batches a second.
 pub const FLUSH_EVERY_S: f64 = 0.05;
+/// Reads of records of uncertain version that may be under way at once: one less than the
+/// threads that make requests of the store, so that a store that answers none of them still
+/// leaves one to users' requests.
+pub const UNCERTAIN_READS_MAX: usize = 3;
 /// Wait before repeating a refused store request, seconds.
 pub const STORE_RETRY_S: f64 = 0.25;
 /// Keys asked for in a page: fits the service's 512 KiB answers and our memory.
--- a/crates/core/src/writer/answers.rs
+++ b/crates/core/src/writer/answers.rs
@@ -1,5 +1,6 @@
 //! What the state service answered to the leader's transactions and reads.
 
+use super::uncertain::UncertainRecord;
 use super::{Entry, Mark, Running, Urgency};
 use crate::consts::*;
 use crate::event::{ActionSink, OpId, Secs, StoreResult};
@@ -20,20 +21,8 @@
         result: StoreResult,
         out: &mut ActionSink,
     ) -> bool {
-        if self.writer.reading == Some(op) {
-            self.writer.reading = None;
-            match result {
-                StoreResult::Value(item) => {
-                    let version = item.as_ref().map_or(0, |i| i.version);
-                    if let Some((_, entry)) = self.writer.resync.pop_front() {
-                        self.resynced(now, entry, version, item.map(|i| i.value));
-                    }
-                    if self.writer.resync.is_empty() {
-                        self.log.info(now, || "event=records_known".to_owned());
-                    }
-                }
-                _ => self.writer.next = now + STORE_RETRY_S,
-            }
+        if let Some(record) = self.writer.uncertain.answered(op) {
+            self.uncertain_record_read(now, record, result);
             return true;
         }
         let running = self.writer.running.take_if(|running| running.op == op);
@@ -62,30 +51,48 @@
                 self.rejected(now, shape);
                 entries.into_iter().for_each(|e| self.entry_again(now, e));
             }
-            // Perhaps executed, or a version wasn't what we thought: read each.
-            _ => {
-                self.writer.next = now + STORE_RETRY_S;
-                let (records, left) = (entries.len(), self.writer.resync.len());
-                self.log.info(now, || {
-                    format!("event=records_uncertain records={records} before={left}")
-                });
-                for entry in entries {
-                    let key = match &entry {
-                        Entry::Part { job, part, .. } => progress_key(job, *part),
-                        Entry::Block(number, _) => block_key(*number),
-                        Entry::Close { job, cancelled: false, .. } => end_key(job),
-                        Entry::Close { job, .. } => spec_key(job),
-                        Entry::Garbage(key, _) => key.clone(),
-                        Entry::Types => TYPES.into(),
-                        Entry::Format(_) => COMMON_FORMAT.into(),
-                    };
-                    self.writer.resync.push_back((key, entry));
+            // Not executed, as the versions of some records weren't what we thought.
+            StoreResult::Conflict(keys) => {
+                let (stale, sound): (Vec<Entry>, Vec<Entry>) =
+                    entries.into_iter().partition(|entry| entry.failed(&keys));
+                if stale.is_empty() {
+                    self.writer.next = now + STORE_RETRY_S;
                 }
+                self.uncertain_records(now, "conflict", stale);
+                sound.into_iter().for_each(|e| self.entry_again(now, e));
             }
+            // Perhaps executed, perhaps later.
+            _ => self.uncertain_records(now, "no_answer", entries),
         }
         true
     }
 
+    /// The versions of these records aren't known any more.
+    fn uncertain_records(&mut self, now: Secs, why: &str, entries: Vec<Entry>) {
+        let records = entries.len();
+        for entry in entries {
+            self.writer.uncertain.insert(entry.key(), entry);
+        }
+        let uncertain = self.writer.uncertain.len();
+        self.log.info(now, || {
+            format!("event=records_uncertain records={records} why={why} uncertain={uncertain}")
+        });
+    }
+
+    /// A record of uncertain version was read, or the read failed.
+    fn uncertain_record_read(&mut self, now: Secs, record: UncertainRecord, result: StoreResult) {
+        let StoreResult::Value(item) = result else {
+            self.writer.next_read = now + STORE_RETRY_S;
+            return self.writer.uncertain.read_failed(record);
+        };
+        self.writer.uncertain.settled(&record.key);
+        let version = item.as_ref().map_or(0, |i| i.version);
+        self.resynced(now, record, version, item.map(|i| i.value));
+        if self.writer.uncertain.is_empty() {
+            self.log.info(now, || "event=records_known".to_owned());
+        }
+    }
+
     /// The state service takes less than we thought: the limits may fall at any time.
     fn rejected(&mut self, now: Secs, shape: TransactionShape) {
         self.writer.limits.shrink(shape);
@@ -170,12 +177,22 @@
     }
 
     // A record's true version is known again.
-    fn resynced(&mut self, now: Secs, entry: Entry, version: u64, value: Option<ciborium::Value>) {
+    fn resynced(
+        &mut self,
+        now: Secs,
+        record: UncertainRecord,
+        version: u64,
+        value: Option<ciborium::Value>,
+    ) {
+        let UncertainRecord { key, entry } = record;
         match entry {
             Entry::Part { job, part, .. } => {
                 if let Some(j) = self.jobs.get_mut(&job) {
                     j.parts[part as usize] = version;
                     self.writer.touch_task(&job, part * PART_TASKS, now, true);
+                } else if version != 0 {
+                    // The job was closed meanwhile, when its version wasn't known.
+                    self.writer.discard(key, version);
                 }
             }
             Entry::Block(number, names) => {
@@ -204,7 +221,7 @@
                     self.entry_again(now, Entry::Close { job, cancelled, tasks });
                 }
             }
-            Entry::Garbage(key, _) => {
+            Entry::Garbage(..) => {
                 if version != 0 {
                     self.writer.discard(key, version);
                 }
--- a/crates/core/src/writer/batch.rs
+++ b/crates/core/src/writer/batch.rs
@@ -51,11 +51,9 @@
     pub(crate) fn flush(&mut self, now: Secs, replica: &Replica, out: &mut ActionSink) {
         let w = &mut self.writer;
         w.refill(now);
-        if w.running.is_some() || w.reading.is_some() || now < w.next {
-            return;
-        }
-        if let Some((key, _)) = w.resync.front() {
-            w.reading = Some(out.store(StoreRequest::Get(key.clone())));
+        self.read_uncertain(now, out);
+        let w = &self.writer;
+        if w.running.is_some() || now < w.next {
             return;
         }
         let Batch { txn, entries, largest_value, .. } = self.batch(now, replica);
@@ -70,6 +68,18 @@
         w.running = Some(Running { op, shape, entries });
     }
 
+    /// Reads records whose version is uncertain.
+    fn read_uncertain(&mut self, now: Secs, out: &mut ActionSink) {
+        let w = &mut self.writer;
+        if now < w.next_read {
+            return;
+        }
+        while let Some(record) = w.uncertain.next_to_read() {
+            let op = out.store(StoreRequest::Get(record.key.clone()));
+            w.uncertain.reads(op, record);
+        }
+    }
+
     // What others wait for goes first: jobs whose end is overdue, machines and
     // tasks whose starts wait (services before arrays), other ends; then, after
     // a while in which they gather, finished tasks, images and machines gone.
@@ -102,16 +112,28 @@
         self.batch_closes(now, 0.0, &mut b);
         self.batch_blocks(now, Urgency::Lazy, &mut b);
         self.batch_blocks(now, Urgency::Images, &mut b);
-        while !b.full()
-            && let Some((key, version)) = self.writer.garbage.pop_first()
-        {
-            b.entries.push(Entry::Garbage(key.clone(), version));
-            b.drop_key(key, version);
-        }
+        self.batch_garbage(&mut b);
         self.types_entry(replica, &mut b);
         b
     }
 
+    /// Adds records of no more use.
+    fn batch_garbage(&mut self, b: &mut Batch) {
+        let writer = &mut self.writer;
+        let known = |key: &&String| !writer.uncertain.contains(key);
+        let free = b.free();
+        let keys: Vec<String> = writer.garbage.keys().filter(known).take(free).cloned().collect();
+        for key in keys {
+            if b.full() {
+                break;
+            }
+            if let Some(version) = writer.garbage.remove(&key) {
+                b.entries.push(Entry::Garbage(key.clone(), version));
+                b.drop_key(key, version);
+            }
+        }
+    }
+
     /// Adds blocks of machines that are due; false if one found no room.
     fn batch_blocks(&mut self, now: Secs, urgency: Urgency, b: &mut Batch) -> bool {
         let age = match urgency {
@@ -123,6 +145,7 @@
         let blocks = self.writer.blocks.iter();
         let numbers: Vec<u32> = blocks
             .filter(|(_, block)| block.mark.as_ref().is_some_and(due))
+            .filter(|(number, _)| !self.writer.uncertain.contains(&block_key(**number)))
             .map(|(number, _)| *number)
             .collect();
         let mut all = true;
@@ -192,7 +215,7 @@
 
     fn batch_parts(&mut self, now: Secs, b: &mut Batch) {
         let mut due: Vec<(u8, Secs, (JobId, u32))> = Vec::new();
-        let jobs = &self.jobs;
+        let (jobs, uncertain) = (&self.jobs, &self.writer.uncertain);
         self.writer.parts.retain(|(id, part), mark| {
             // A job that is complete is closed instead.
             let job = jobs.get(id).filter(|j| !j.closing && !j.complete());
@@ -204,6 +227,9 @@
                 (true, _) => 1,
                 (false, _) => 2,
             };
+            if uncertain.contains(&progress_key(id, *part)) {
+                return true;
+            }
             if class < 2 || now - mark.since > FINISH_LAZY_S {
                 due.push((class, mark.since, (id.clone(), *part)));
             }
--- a/crates/core/src/writer/mod.rs
+++ b/crates/core/src/writer/mod.rs
@@ -4,6 +4,7 @@
 
 mod answers;
 mod batch;
+mod uncertain;
 
 use crate::consts::*;
 use crate::event::{OpId, Secs};
@@ -11,8 +12,11 @@
 use crate::fleet::Machine;
 use crate::record_shape::{ProgressSets, ShapeLimits, TransactionShape};
 use marblebarrow_proto::ids::{JobId, MachineId};
-use marblebarrow_proto::records::PART_TASKS;
+use marblebarrow_proto::records::{
+    COMMON_FORMAT, PART_TASKS, TYPES, block_key, end_key, progress_key, spec_key,
+};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use uncertain::UncertainRecords;
 
 /// One record of a transaction.
 #[derive(Debug)]
@@ -37,6 +41,27 @@
     Format(u32),
 }
 
+impl Entry {
+    /// The key by whose version it is known whether the record was written.
+    fn key(&self) -> String {
+        match self {
+            Self::Part { job, part, .. } => progress_key(job, *part),
+            Self::Block(number, _) => block_key(*number),
+            Self::Close { job, cancelled: false, .. } => end_key(job),
+            Self::Close { job, .. } => spec_key(job),
+            Self::Garbage(key, _) => key.clone(),
+            Self::Types => TYPES.into(),
+            Self::Format(_) => COMMON_FORMAT.into(),
+        }
+    }
+
+    /// Whether the record's version wasn't what we thought, as these failed conditions show.
+    fn failed(&self, keys: &[String]) -> bool {
+        let Self::Close { job, .. } = self else { return keys.contains(&self.key()) };
+        keys.contains(&end_key(job)) || keys.contains(&spec_key(job))
+    }
+}
+
 /// Why a record is out of date: how soon it is written again follows from it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Urgency {
@@ -86,9 +111,10 @@
     /// Records of jobs that are over, and their versions.
     garbage: BTreeMap<String, u64>,
     running: Option<Running>,
-    /// Keys whose version must be read again, and the read under way.
-    resync: VecDeque<(String, Entry)>,
-    reading: Option<OpId>,
+    /// Records whose version must be read again.
+    uncertain: UncertainRecords,
+    /// Such reads are made no sooner.
+    next_read: Secs,
     budget: f64,
     rps: f64,
     /// Changes of users lately, decaying: the rest of the rate is ours.
@@ -122,8 +148,8 @@
             closed: VecDeque::new(),
             garbage: BTreeMap::new(),
             running: None,
-            resync: VecDeque::new(),
-            reading: None,
+            uncertain: UncertainRecords::default(),
+            next_read: now,
             budget: facts.store_write_rps * LEADER_WRITE_SHARE,
             rps: facts.store_write_rps,
             users: 0.0,
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -101,7 +101,8 @@
 /// Answers of the key-value store that may wait: one for each of its threads and some to
 /// spare.
 pub const PRIORITY_QUEUE_LEN: usize = 16;
-/// Threads that make requests of the key-value store.
+/// Threads that make requests of the key-value store: more than the leader's reads of
+/// uncertain records may take (`UNCERTAIN_READS_MAX`).
 pub const STORE_THREADS: usize = 4;
 /// Requests that may wait for them; more are refused at once.
 pub const STORE_QUEUE_LEN: usize = 64;
