CPUs that services hold on an image's holders don't count as coming free

Cause: it could start only where its image is, as a fetch counted as not worthwhile while the machines that have the image would come free sooner. All of those were full of services, which never end (event=fleet ... ordinary_idle=13 waiting=1; demand waiting 1.0, holders 184.0 in every pass).

Change: of a machine that has the image only what services leave counts.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -49,7 +49,9 @@
                 && m.tasks.remove(&task)
             {
                 let spec = job.record.spec.clone();
-                m.services -= u32::from(spec.kind == Kind::Service);
+                if spec.kind == Kind::Service {
+                    m.remove_service(spec.cpus);
+                }
                 if !m.freed.remove(&task) {
                     m.unbook(&spec);
                 }
@@ -95,7 +97,9 @@
         };
         if m.tasks.insert(TaskId { job: id.clone(), index: n }) {
             let spec = job.spec();
-            m.services += u32::from(spec.kind == Kind::Service);
+            if spec.kind == Kind::Service {
+                m.add_service(spec.cpus);
+            }
             m.book(spec);
         }
     }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -82,6 +82,8 @@
     pub used: [f64; 3],
     /// Services among its tasks.
     pub services: u32,
+    /// CPUs that those take.
+    pub service_cpus: f64,
     /// Tasks that run or may run.
     pub tasks: BTreeSet<TaskId>,
     /// Those of them that were told to stop and whose room is taken as free.
@@ -140,6 +142,7 @@
             strangers: BTreeSet::new(),
             used: [0.0; 3],
             services: 0,
+            service_cpus: 0.0,
             tasks: BTreeSet::new(),
             freed: BTreeSet::new(),
             idle_since: now,
@@ -152,6 +155,19 @@
         }
     }
 
+    /// Counts a service's task that is booked on it.
+    pub fn add_service(&mut self, cpus: f64) {
+        self.services += 1;
+        self.service_cpus += cpus;
+    }
+
+    /// Counts a service's task no more.
+    pub fn remove_service(&mut self, cpus: f64) {
+        self.services -= 1;
+        // Sums of fractions: none is left of none.
+        self.service_cpus = if self.services == 0 { 0.0 } else { self.service_cpus - cpus };
+    }
+
     /// Whether new tasks may go there.
     pub fn usable(&self, now: Secs, heartbeat_interval_s: f64) -> bool {
         self.heard.is_some_and(|h| now - h < heartbeat_interval_s * SILENT_HEARTBEATS)
--- a/crates/core/src/place/image_demand.rs
+++ b/crates/core/src/place/image_demand.rs
@@ -14,7 +14,7 @@
 pub(crate) struct Demand {
     /// What waiting array tasks need.
     pub(crate) waiting: f64,
-    /// The size of all machines that have the image or are fetching it.
+    /// What arrays use or could use on the machines that have the image or are fetching it.
     pub(crate) holders: f64,
 }
 
@@ -60,7 +60,9 @@
         let cached = machine.images.iter().map(|(image, _)| image);
         for image in cached.chain(machine.fetching.keys()) {
             if let Some(demand) = images.get_mut(image) {
-                demand.holders += machine.size[0];
+                // A service's room never comes free. (Counted, it once kept an array's last
+                // task for a minute, until the day ended, from fetching on an idle machine.)
+                demand.holders += (machine.size[0] - machine.service_cpus).max(0.0);
             }
         }
     }
@@ -69,6 +71,8 @@
 /// Whether a task should fetch its image on one more machine: not while the machines that
 /// have it become free sooner than the fetch would end.
 ///
+/// Only a machine that comes free counts: see [`count_holders`].
+///
 /// (In a full fleet half of all starts once fetched, and a quarter of the machines' time
 /// went into it.)
 ///
@@ -90,3 +94,7 @@
         fetch_is_worthwhile(job.spec(), job.likely_run(), *demand, fetch_rate)
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/image_demand.rs"]
+mod tests;
