Heartbeats wait for an election; a badly placed leader hands over

Change: (1) a leader so placed transfers its leadership, by removing its key, to a controller that is well placed, heard and served; not before 10 s of silence, once a minute at most. (2) A controller that knows of no leader keeps heartbeats for up to 3 s.

node.rs is split: leadership, heartbeats of workers, peers.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -75,6 +75,31 @@
 /// workers would spend two timeouts on their way to the third, more than the
 /// shortest leases last.
 pub const NEXT_SILENT_S: f64 = 0.5;
+/// Share of its interval by which a worker's heartbeat may come later than it (protocol page).
+pub const HEARTBEAT_JITTER: f64 = 0.25;
+/// Time for the way to a controller and back that a worker's lease must still last when it has
+/// found one, seconds.
+pub const PLACEMENT_MARGIN_S: f64 = 0.5;
+/// A leader hands over because a controller is silent only once it was for so long, seconds:
+/// a restart or a short cut is over by then, and a takeover costs users a second of starts.
+pub const TRANSFER_SILENT_S: f64 = 10.0;
+/// A leader hands over no sooner after its election, seconds: its takeover comes first.
+pub const TRANSFER_AFTER_S: f64 = 3.0;
+/// Least time between two transfers of leadership by the same process, seconds: whatever
+/// flaps, each controller causes one such change a minute at most.
+pub const TRANSFER_EVERY_S: f64 = 60.0;
+/// After handing over a controller doesn't stand for this long, seconds: enough for the other
+/// to win, and little if that one has just failed.
+pub const TRANSFER_GRACE_S: f64 = 2.0;
+/// Longest wait of a heartbeat for the outcome of an election, seconds: workers wait 4 s for
+/// an answer, of which its way takes a part.
+pub const HEARTBEAT_WAIT_S: f64 = 3.0;
+/// Heartbeats that may wait so: half as many again as the largest fleet has machines. Each is a
+/// few hundred bytes.
+pub const HEARTBEATS_WAITING_MAX: usize = 6_000;
+/// Heartbeats that waited and are answered in one step at most, so that what is due comes in
+/// between.
+pub const WAITING_HEARTBEATS_PER_STEP: usize = 128;
 /// Wait after a failed attempt to stand, seconds.
 pub const STAND_RETRY_S: f64 = 0.4;
 
--- a/crates/core/src/election/mod.rs
+++ b/crates/core/src/election/mod.rs
@@ -11,6 +11,7 @@
 mod campaign;
 mod candidacy;
 mod lease;
+mod placement;
 mod pledges;
 
 use crate::consts::*;
@@ -19,6 +20,7 @@
 use candidacy::Candidacy;
 use lease::LeaseRenewal;
 use marblebarrow_proto::ids::{NodeId, Term};
+pub use placement::Placement;
 use pledges::Pledges;
 use std::fmt;
 
@@ -78,6 +80,8 @@
 pub enum LossReason {
     /// Resigned: all workers fell silent at once.
     WorkersUnreachable,
+    /// Handed over: another controller is better placed should the leader stand still.
+    Transferred,
     /// Resigned: the copy of the store got too old.
     OutOfDate,
     /// The state service no longer knows the lease of the leader key.
@@ -92,6 +96,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::WorkersUnreachable => "workers_unreachable",
+            Self::Transferred => "transferred",
             Self::OutOfDate => "out_of_date",
             Self::LeaseGone => "lease_gone",
             Self::Superseded => "superseded",
@@ -228,7 +233,11 @@
             out.store(StoreRequest::RevokeLease(held.lease));
         }
         let change = self.lose(now, reason);
-        self.candidacy.wait_until(now + RESIGNED_S);
+        let pause = match reason {
+            LossReason::Transferred => TRANSFER_GRACE_S,
+            _ => RESIGNED_S,
+        };
+        self.candidacy.wait_until(now + pause);
         change
     }
 
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -397,6 +397,11 @@
         silent >= WORKERS_SILENT_LEAST
     }
 
+    /// Whether its takeover is over, and every recorded machine accounted for, since a while.
+    pub fn is_settled(&self, now: Secs) -> bool {
+        self.loading.is_none() && !self.recovering && now - self.elected_at >= TRANSFER_AFTER_S
+    }
+
     /// Whether this process has had the processor whenever it wanted it for so long.
     /// Before, silence says nothing of those that are silent.
     pub(crate) fn prompt_for(&self, now: Secs, span: Secs) -> bool {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,4 +34,5 @@
 mod revocation;
 pub mod unconfirmed_starts;
 pub mod user_api;
+mod waiting_heartbeats;
 mod writer;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node/mod.rs
@@ -1,15 +1,22 @@
 //! One controller: events and time in, actions out.
+//!
+//! [`leadership`] decides when it may act for all, [`worker_heartbeats`] takes what workers
+//! send, and [`peers`] what other controllers and other cells do.
+
+mod leadership;
+mod peers;
+mod worker_heartbeats;
 
 use crate::consts::*;
-use crate::election::{Election, LeadershipBounds, LeadershipChange, LossReason};
+use crate::election::{Election, LossReason, Placement};
 use crate::event::*;
 use crate::facts::Facts;
-use crate::leader::{Knowledge, Leader};
+use crate::leader::Leader;
 use crate::log::{Log, LogLine};
 use crate::membership::Membership;
 use crate::replica::{Change, Replica};
 use crate::user_api::{RequestContext, UserApi};
-use marblebarrow_cells::message::{CellError, CellReply, CellRequest, Exchange};
+use crate::waiting_heartbeats::WaitingHeartbeats;
 use marblebarrow_proto::ids::{JobId, NodeId};
 use marblebarrow_proto::records::TERM;
 use marblebarrow_proto::wire::MachineType;
@@ -39,6 +46,12 @@
     leader_shown: Option<(NodeId, u64)>,
     /// What every configured controller is known to run.
     membership: Membership,
+    /// Heartbeats that wait for the outcome of an election.
+    waiting_heartbeats: WaitingHeartbeats,
+    /// Which controllers may lead while others are silent.
+    placement: Placement,
+    /// When it may next hand its leadership over.
+    next_transfer: Secs,
     log: Log,
 }
 
@@ -48,6 +61,8 @@
         let facts = Arc::new(facts);
         let log = Log::new(facts.log);
         let election = Election::new(facts.node.clone(), facts.others.clone(), boot, now).founded();
+        let controllers = facts.others.iter().chain([&facts.node]).cloned().collect();
+        let placement = Placement::new(controllers, facts.heartbeat_interval_s, facts.lease_s);
         let membership = Membership::new(facts.node.clone(), &facts.others, now);
         Self {
             facts,
@@ -67,6 +82,9 @@
             peers_ok: BTreeMap::new(),
             leader_shown: None,
             membership,
+            waiting_heartbeats: WaitingHeartbeats::default(),
+            placement,
+            next_transfer: now,
             log,
         }
     }
@@ -103,64 +121,6 @@
         &self.membership
     }
 
-    /// Whether this controller may act for all of them now.
-    pub fn may_act(&self, now: Secs) -> bool {
-        self.authority().is_some_and(|(_, until)| now < until)
-    }
-
-    /// The term in which this controller may act, and until when, if it leads:
-    /// while nobody else can, and while a cancellation that it may not know
-    /// could still be enforced by the leases that it lets run out.
-    ///
-    /// (The store once refused the leader alone, a peer confirmed cancellations,
-    /// and then it refused all for longer than those may take. The leader kept
-    /// the leases of tasks that it didn't know to be cancelled.)
-    pub fn authority(&self) -> Option<(u64, Secs)> {
-        let LeadershipBounds { term, lease_until, pledged_until } =
-            self.election.leadership_bounds()?;
-        if self.facts.others.is_empty() {
-            return Some((term, lease_until));
-        }
-        let (known_at, room) = (self.known_at(), self.facts.cancel_room());
-        // While the store serves us, its word on what is new may take a while.
-        let served_until = lease_until.min(known_at + self.facts.replica_age_limit());
-        let refused_until = pledged_until.min(known_at + room);
-        Some((term, served_until.max(refused_until)))
-    }
-
-    /// The highest token that a leadership of ours may use besides its term.
-    pub fn highest_fencing_token(&self) -> u64 {
-        self.leader.as_ref().map_or(0, Leader::highest_fencing_token)
-    }
-
-    /// Every cancellation confirmed by then is known to us.
-    fn known_at(&self) -> Secs {
-        if self.replica.is_complete() {
-            self.replica.current_at.max(self.election.cancellations_known_at())
-        } else {
-            self.replica.current_at
-        }
-    }
-
-    /// Tells the leader how far its knowledge of cancellations reaches; only once it has been
-    /// told them all, as it takes a cancellation that is news for one confirmed since.
-    fn note_knowledge(&mut self) {
-        let (known_at, revision) = (self.known_at(), self.replica.revision);
-        let authority_until = self.authority().map_or(0.0, |(_, until)| until);
-        if let Some(l) = &mut self.leader {
-            l.knowledge = Knowledge { known_at, revision, authority_until };
-        }
-    }
-
-    // Serves the store well enough to keep our lease, and yet doesn't tell what is
-    // new, and soon we may not act for it: another's watch may fare better.
-    fn out_of_date(&self, now: Secs) -> bool {
-        self.election.leadership().is_some()
-            && !self.election.renewal_failing()
-            && !self.facts.others.is_empty()
-            && now > self.known_at() + self.facts.replica_age_to_resign()
-    }
-
     fn store_bad(&self) -> bool {
         self.store_fails >= STORE_BAD_AFTER
     }
@@ -178,7 +138,7 @@
             Event::User(to, req) => self.with_user_api(now, wall_ms, |user_api, context, out| {
                 user_api.ask(context, to, req, out)
             }),
-            Event::Heartbeat(to, heartbeat) => self.heartbeat(now, to, &heartbeat),
+            Event::Heartbeat(to, heartbeat) => self.heartbeat(now, to, heartbeat),
             Event::Store(op, result) => self.store(now, wall_ms, op, result),
             Event::Watch(news) => {
                 let changes = self.replica.apply(news);
@@ -250,6 +210,7 @@
         if self.out_of_date(now) {
             self.resign(now, LossReason::OutOfDate);
         }
+        self.transfer_if_badly_placed(now);
         let cascade_lists_allowed = self.dependencies_allowed();
         if self.may_act(now)
             && let Some(l) = &mut self.leader
@@ -266,6 +227,7 @@
                 self.out.actions.push(Action::SendProgress(updates));
             }
         }
+        self.answer_waiting_heartbeats(now);
         self.with_user_api(now, wall_ms, |user_api, context, out| user_api.tick(context, out));
         if now >= self.next_heartbeat {
             let every = if self.election.fresh() { HEARTBEAT_FIRST_S } else { HEARTBEAT_EVERY_S };
@@ -283,27 +245,6 @@
         }
     }
 
-    /// Logs whom the watch shows as leader, if that is news.
-    fn note_leader(&mut self, now: Secs) {
-        let shown =
-            self.replica.leader.as_ref().map(|(record, _)| (record.node.clone(), record.term));
-        if shown == self.leader_shown {
-            return;
-        }
-        match &shown {
-            Some((node, term)) => {
-                self.log.info(now, || format!("event=leader node={node} term={term}"));
-            }
-            None => self.log.info(now, || "event=no_leader".into()),
-        }
-        self.leader_shown = shown;
-    }
-
-    fn resign(&mut self, now: Secs, reason: LossReason) {
-        let turn = self.election.resign(now, reason, &mut self.out);
-        self.change_leadership(now, turn);
-    }
-
     fn heard(&self, now: Secs, peer: Option<&NodeId>) -> bool {
         let at = peer.and_then(|p| self.peers_ok.get(p)).map(|&(at, _)| at);
         peer.is_none() || at.is_some_and(|at| now - at < HEARTBEAT_FRESH_S)
@@ -355,22 +296,6 @@
         self.out.reply(to, answer);
     }
 
-    fn heartbeat(
-        &mut self,
-        now: Secs,
-        to: ReplyTo,
-        heartbeat: &marblebarrow_proto::wire::Heartbeat,
-    ) {
-        if self.may_act(now)
-            && let Some(l) = &mut self.leader
-        {
-            return l.heartbeat(now, to, heartbeat, &self.replica, &mut self.out);
-        }
-        let leader = self.replica.leader.as_ref().map(|(r, _)| r.node.clone());
-        let elsewhere = leader.filter(|n| *n != self.facts.node);
-        self.out.reply(to, Answer::Elsewhere(elsewhere));
-    }
-
     fn store(&mut self, now: Secs, wall_ms: u64, op: OpId, result: StoreResult) {
         match result {
             StoreResult::Refused | StoreResult::Unknown => {
@@ -402,105 +327,4 @@
             self.change_leadership(now, turn);
         }
     }
-
-    fn change_leadership(&mut self, now: Secs, turn: LeadershipChange) {
-        match turn {
-            LeadershipChange::None => {}
-            LeadershipChange::Won => {
-                if let Some(held) = self.election.leadership().cloned() {
-                    self.log.info(now, || format!("event=won term={}", held.term.0));
-                    let facts = self.facts.clone();
-                    self.leader =
-                        Some(Leader::new(facts, held.term, held.version, now, &mut self.out));
-                    self.note_knowledge();
-                }
-            }
-            LeadershipChange::Lost(reason) => {
-                let Some(mut leader) = self.leader.take() else { return };
-                self.log.append(leader.log.take());
-                let term = leader.term.0;
-                self.log.info(now, || format!("event=lost term={term} why={reason}"));
-            }
-        }
-    }
-
-    fn peer(&mut self, now: Secs, news: PeerNews) {
-        match news {
-            PeerNews::Heartbeat { node, store_ok, leading } => {
-                self.peers_ok.insert(node.clone(), (now, store_ok));
-                if let Some(leading) = leading {
-                    self.election.peer_leads(now, node, leading);
-                }
-            }
-            PeerNews::PledgeAsked { reply, from, term, revision, after } => {
-                let (refuses, replica) = (self.store_bad(), &self.replica);
-                let granted = self.election.pledge_asked(now, (&from, term), replica, refuses);
-                let (cancelled, more) =
-                    replica.cancelled_since(revision, after.as_ref(), PLEDGE_CANCELS);
-                let answer =
-                    PledgeAnswer { granted, whole: replica.is_complete(), cancelled, more };
-                self.out.actions.push(Action::PledgeReply(reply, answer));
-            }
-            PeerNews::Pledged { node, sent, answer } => {
-                for (id, revision) in &answer.cancelled {
-                    self.learn_cancelled(now, id, *revision);
-                }
-                self.election.pledged(node, sent, &answer);
-                self.note_knowledge();
-            }
-            PeerNews::Progress(jobs) => self.learn_progress(jobs),
-            PeerNews::Announced { node, runs } => self.membership.heard(&node, runs, now),
-        }
-    }
-
-    /// Another cell, or an operator, asks: only a leader answers.
-    fn cell_request(&mut self, now: Secs, wall_ms: u64, to: ReplyTo, request: CellRequest) {
-        let leads = self.may_act(now);
-        let Some(leader) = self.leader.as_mut().filter(|_| leads) else {
-            return self.out.actions.push(Action::CellReply(to, Err(CellError::NotLeader)));
-        };
-        match request {
-            CellRequest::Offer(offer) => {
-                leader.offered(now, to, *offer, &self.replica, &mut self.out);
-            }
-            CellRequest::DeclareLost(cell) => leader.declare_lost(to, cell, &mut self.out),
-            CellRequest::Overview => {
-                let overview = leader.cells_overview(now, &self.replica).map(Box::new);
-                let answer = overview.ok_or(CellError::UnknownCell);
-                self.out.actions.push(Action::CellReply(to, answer));
-            }
-            CellRequest::Exchange(exchange) => self.cell_exchange(now, wall_ms, to, &exchange),
-        }
-    }
-
-    fn cell_exchange(&mut self, now: Secs, wall_ms: u64, to: ReplyTo, exchange: &Exchange) {
-        let Some(leader) = &mut self.leader else { return };
-        let user_api = &self.user_api;
-        let terminal = |id: &JobId| user_api.terminal_state(id).cloned();
-        let outcome = leader.exchange(now, exchange, &self.replica, terminal, &mut self.out);
-        let (reply, work) = match outcome {
-            Ok(outcome) => outcome,
-            Err(error) => return leader.refuse_request(to, error, &mut self.out),
-        };
-        let answer = Ok(Box::new(CellReply::Exchange(reply)));
-        self.out.actions.push(Action::CellReply(to, answer));
-        self.with_user_api(now, wall_ms, |user_api, context, out| {
-            for job in work.cancel {
-                user_api.ask(context, NOBODY, UserRequest::Cancel(job), out);
-            }
-            for job in work.read_end {
-                user_api.learn_end(job, out);
-            }
-        });
-    }
-
-    fn learn_progress(&mut self, jobs: Vec<JobCounts>) {
-        let specs = &self.replica.specs;
-        let known = jobs
-            .into_iter()
-            .filter(|update| specs.contains_key(&update.job))
-            .map(|update| (update.job, update.counts));
-        self.user_api.progress.extend(known);
-        self.user_api.progress.retain(|id, _| specs.contains_key(id));
-    }
 }
--- /dev/null
+++ b/crates/core/src/node/peers.rs
@@ -0,0 +1,95 @@
+//! What other controllers and other cells say and ask.
+
+use super::Node;
+use crate::consts::PLEDGE_CANCELS;
+use crate::event::*;
+use marblebarrow_cells::message::{CellError, CellReply, CellRequest, Exchange};
+use marblebarrow_proto::ids::JobId;
+
+impl Node {
+    pub(super) fn peer(&mut self, now: Secs, news: PeerNews) {
+        match news {
+            PeerNews::Heartbeat { node, store_ok, leading } => {
+                self.peers_ok.insert(node.clone(), (now, store_ok));
+                if let Some(leading) = leading {
+                    self.election.peer_leads(now, node, leading);
+                }
+            }
+            PeerNews::PledgeAsked { reply, from, term, revision, after } => {
+                let (refuses, replica) = (self.store_bad(), &self.replica);
+                let granted = self.election.pledge_asked(now, (&from, term), replica, refuses);
+                let (cancelled, more) =
+                    replica.cancelled_since(revision, after.as_ref(), PLEDGE_CANCELS);
+                let answer =
+                    PledgeAnswer { granted, whole: replica.is_complete(), cancelled, more };
+                self.out.actions.push(Action::PledgeReply(reply, answer));
+            }
+            PeerNews::Pledged { node, sent, answer } => {
+                for (id, revision) in &answer.cancelled {
+                    self.learn_cancelled(now, id, *revision);
+                }
+                self.election.pledged(node, sent, &answer);
+                self.note_knowledge();
+            }
+            PeerNews::Progress(jobs) => self.learn_progress(jobs),
+            PeerNews::Announced { node, runs } => self.membership.heard(&node, runs, now),
+        }
+    }
+
+    /// Another cell, or an operator, asks: only a leader answers.
+    pub(super) fn cell_request(
+        &mut self,
+        now: Secs,
+        wall_ms: u64,
+        to: ReplyTo,
+        request: CellRequest,
+    ) {
+        let leads = self.may_act(now);
+        let Some(leader) = self.leader.as_mut().filter(|_| leads) else {
+            return self.out.actions.push(Action::CellReply(to, Err(CellError::NotLeader)));
+        };
+        match request {
+            CellRequest::Offer(offer) => {
+                leader.offered(now, to, *offer, &self.replica, &mut self.out);
+            }
+            CellRequest::DeclareLost(cell) => leader.declare_lost(to, cell, &mut self.out),
+            CellRequest::Overview => {
+                let overview = leader.cells_overview(now, &self.replica).map(Box::new);
+                let answer = overview.ok_or(CellError::UnknownCell);
+                self.out.actions.push(Action::CellReply(to, answer));
+            }
+            CellRequest::Exchange(exchange) => self.cell_exchange(now, wall_ms, to, &exchange),
+        }
+    }
+
+    fn cell_exchange(&mut self, now: Secs, wall_ms: u64, to: ReplyTo, exchange: &Exchange) {
+        let Some(leader) = &mut self.leader else { return };
+        let user_api = &self.user_api;
+        let terminal = |id: &JobId| user_api.terminal_state(id).cloned();
+        let outcome = leader.exchange(now, exchange, &self.replica, terminal, &mut self.out);
+        let (reply, work) = match outcome {
+            Ok(outcome) => outcome,
+            Err(error) => return leader.refuse_request(to, error, &mut self.out),
+        };
+        let answer = Ok(Box::new(CellReply::Exchange(reply)));
+        self.out.actions.push(Action::CellReply(to, answer));
+        self.with_user_api(now, wall_ms, |user_api, context, out| {
+            for job in work.cancel {
+                user_api.ask(context, NOBODY, UserRequest::Cancel(job), out);
+            }
+            for job in work.read_end {
+                user_api.learn_end(job, out);
+            }
+        });
+    }
+
+    pub(super) fn learn_progress(&mut self, jobs: Vec<JobCounts>) {
+        let specs = &self.replica.specs;
+        let known = jobs
+            .into_iter()
+            .filter(|update| specs.contains_key(&update.job))
+            .map(|update| (update.job, update.counts));
+        self.user_api.progress.extend(known);
+        self.user_api.progress.retain(|id, _| specs.contains_key(id));
+    }
+}
--- /dev/null
+++ b/crates/core/src/node/worker_heartbeats.rs
@@ -0,0 +1,64 @@
+//! Heartbeats of workers, as any controller takes them.
+
+use super::Node;
+use crate::consts::{WAITING_HEARTBEATS_PER_STEP, WATCH_LAG_S};
+use crate::event::{Answer, ReplyTo, Secs};
+use marblebarrow_proto::ids::NodeId;
+use marblebarrow_proto::wire::Heartbeat;
+
+impl Node {
+    /// A worker's heartbeat: the leader answers it, others name the leader, and while nobody
+    /// is known to lead it waits for the outcome of the election.
+    pub(super) fn heartbeat(&mut self, now: Secs, to: ReplyTo, heartbeat: Box<Heartbeat>) {
+        if self.answers_heartbeats(now) {
+            return self.answer_heartbeat(now, to, &heartbeat);
+        }
+        if self.leader_soon_known(now) && self.waiting_heartbeats.has_room() {
+            return self.waiting_heartbeats.push(now, to, heartbeat);
+        }
+        self.answer_heartbeat(now, to, &heartbeat);
+    }
+
+    /// Answers heartbeats that waited, once there is an answer or they waited long enough.
+    pub(super) fn answer_waiting_heartbeats(&mut self, now: Secs) {
+        if self.answers_heartbeats(now) || !self.leader_soon_known(now) {
+            for _ in 0..WAITING_HEARTBEATS_PER_STEP {
+                let Some(waiting) = self.waiting_heartbeats.pop() else { return };
+                self.answer_heartbeat(now, waiting.to, &waiting.heartbeat);
+            }
+        }
+        while let Some(waiting) = self.waiting_heartbeats.pop_expired(now) {
+            self.answer_heartbeat(now, waiting.to, &waiting.heartbeat);
+        }
+    }
+
+    fn answers_heartbeats(&self, now: Secs) -> bool {
+        self.leader.is_some() && self.may_act(now)
+    }
+
+    /// Whether nobody is known to lead, and this controller will learn of a leader as soon as
+    /// there is one: the store serves it, and its watch goes on. In an outage nobody can be
+    /// elected.
+    fn leader_soon_known(&self, now: Secs) -> bool {
+        self.other_leader().is_none()
+            && self.replica.synced
+            && !self.store_bad()
+            && now - self.replica.current_at < WATCH_LAG_S
+    }
+
+    /// Another controller that leads, as the watch shows.
+    fn other_leader(&self) -> Option<&NodeId> {
+        let leader = self.replica.leader.as_ref().map(|(record, _)| &record.node);
+        leader.filter(|node| **node != self.facts.node)
+    }
+
+    fn answer_heartbeat(&mut self, now: Secs, to: ReplyTo, heartbeat: &Heartbeat) {
+        if self.may_act(now)
+            && let Some(leader) = &mut self.leader
+        {
+            return leader.heartbeat(now, to, heartbeat, &self.replica, &mut self.out);
+        }
+        let elsewhere = self.other_leader().cloned();
+        self.out.reply(to, Answer::Elsewhere(elsewhere));
+    }
+}
