A heartbeat that a direct command overtook is answered

Cause: the new leader's direct command had shown the worker its token, and the answer came before the heartbeat that was under way with the old one; that one then counted as obsolete.

Change: for as long as its worker may wait for the answer, such a heartbeat has its lease renewed; its list is not taken, and nothing but the ends of cancelled tasks goes with the answer.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -30,6 +30,8 @@
     pub seq: u64,
     /// Highest token it was seen to hold.
     pub fencing_token: u64,
+    /// When that one rose.
+    pub token_risen_at: Secs,
     /// When the last newer heartbeat came; none under this term: None.
     pub heard: Option<Secs>,
     /// When anybody may last have answered it: its lease counts from here.
@@ -118,6 +120,7 @@
             agent_epoch: 0,
             seq: 0,
             fencing_token: 0,
+            token_risen_at: now,
             heard: None,
             answered: now,
             heartbeat_seq: 0,
--- a/crates/core/src/heartbeats/agent_epochs.rs
+++ b/crates/core/src/heartbeats/agent_epochs.rs
@@ -73,7 +73,10 @@
         m.lapsed = None;
         m.agent_epoch = heartbeat.agent_epoch;
         m.seq = heartbeat.seq;
-        m.fencing_token = m.fencing_token.max(heartbeat.fencing_token);
+        if heartbeat.fencing_token > m.fencing_token {
+            m.fencing_token = heartbeat.fencing_token;
+            m.token_risen_at = now;
+        }
         m.heard = Some(now);
         m.unreached = 0;
         if m.info.addr != heartbeat.addr {
--- a/crates/core/src/heartbeats/mod.rs
+++ b/crates/core/src/heartbeats/mod.rs
@@ -39,6 +39,9 @@
             }));
         }
         if self.machines.get(&heartbeat.machine).is_some_and(|m| is_late_copy(heartbeat, m)) {
+            if self.machines.get(&heartbeat.machine).is_some_and(|m| overtaken(now, heartbeat, m)) {
+                return self.answer_overtaken(now, heartbeat);
+            }
             self.probe_after_late_copy(now, &heartbeat.machine);
             return None;
         }
@@ -53,6 +56,17 @@
         Some(Answer::Heartbeat(HeartbeatAnswer { fencing_token: token, commands }))
     }
 
+    /// Answers a heartbeat that a direct command overtook: its list is old, its worker waits.
+    fn answer_overtaken(&mut self, now: Secs, heartbeat: &Heartbeat) -> Option<Answer> {
+        let id = &heartbeat.machine;
+        if !self.renew_lease(now, id)? {
+            return None;
+        }
+        let commands = self.stops(id, |job| job.is_none_or(|j| j.cancelled));
+        let fencing_token = self.machines.get(id).map(|m| self.fencing_token_for(m))?;
+        Some(Answer::Heartbeat(HeartbeatAnswer { fencing_token, commands }))
+    }
+
     /// A late copy may also mean that the worker began anew, which only a fresh exchange can
     /// tell.
     fn probe_after_late_copy(&mut self, now: Secs, id: &MachineId) {
@@ -122,6 +136,22 @@
         || is_obsolete(heartbeat, m)
 }
 
+/// Whether a heartbeat shows a lower fencing token only as a direct command, which was sent
+/// after it or at the same time, arrived and was answered first. Its worker still waits for the
+/// answer, and would take a refusal for this controller's, and try the next.
+///
+/// (A new leader that had shown workers its token once refused the heartbeats that were under
+/// way, sent them on to a controller that was down, and their leases ended.)
+fn overtaken(now: Secs, heartbeat: &Heartbeat, m: &Machine) -> bool {
+    heartbeat.agent_epoch == m.agent_epoch
+        && !m.reborn
+        && m.lapsed.is_none()
+        && (m.heartbeat_seq..m.seq).contains(&heartbeat.seq)
+        && heartbeat.seq != m.heartbeat_seq
+        && heartbeat.fencing_token < m.fencing_token
+        && now - m.token_risen_at < WORKER_DROPS_S
+}
+
 /// Whether a heartbeat comes from an epoch whose lease ended, or from before the worker began
 /// anew: the highest token seen never falls.
 fn is_obsolete(heartbeat: &Heartbeat, m: &Machine) -> bool {
--- a/crates/core/src/node/worker_heartbeats.rs
+++ b/crates/core/src/node/worker_heartbeats.rs
@@ -21,7 +21,7 @@
 
     /// Answers heartbeats that waited, once there is an answer or they waited long enough.
     pub(super) fn answer_waiting_heartbeats(&mut self, now: Secs) {
-        if self.answers_heartbeats(now) || !self.leader_soon_known(now) {
+        if self.answers_heartbeats(now) || self.other_leader(now).is_some() {
             for _ in 0..WAITING_HEARTBEATS_PER_STEP {
                 let Some(waiting) = self.waiting_heartbeats.pop() else { return };
                 self.answer_heartbeat(now, waiting.to, &waiting.heartbeat);
@@ -40,25 +40,33 @@
     /// there is one: the store serves it, and its watch goes on. In an outage nobody can be
     /// elected.
     fn leader_soon_known(&self, now: Secs) -> bool {
-        self.other_leader().is_none()
+        self.other_leader(now).is_none()
             && self.replica.synced
             && !self.store_bad()
             && now - self.replica.current_at < WATCH_LAG_S
     }
 
     /// Another controller that leads, as the watch shows.
-    fn other_leader(&self) -> Option<&NodeId> {
+    fn shown_leader(&self) -> Option<&NodeId> {
         let leader = self.replica.leader.as_ref().map(|(record, _)| &record.node);
         leader.filter(|node| **node != self.facts.node)
     }
 
+    /// The same, unless it alone of the others is silent: then its key will be gone soon. (A
+    /// renewal of a leader that had ended was once carried out 3 s late, and workers were sent
+    /// back to it, 4 s each.)
+    fn other_leader(&self, now: Secs) -> Option<&NodeId> {
+        let company = self.facts.others.iter().any(|peer| self.heard(now, Some(peer)));
+        self.shown_leader().filter(|leader| !company || self.heard(now, Some(*leader)))
+    }
+
     fn answer_heartbeat(&mut self, now: Secs, to: ReplyTo, heartbeat: &Heartbeat) {
         if self.may_act(now)
             && let Some(leader) = &mut self.leader
         {
             return leader.heartbeat(now, to, heartbeat, &self.replica, &mut self.out);
         }
-        let elsewhere = self.other_leader().cloned();
+        let elsewhere = self.shown_leader().cloned();
         self.out.reply(to, Answer::Elsewhere(elsewhere));
     }
 }
