Elections and renewals survive a lost answer; nobody is sent to a silent leader

Cause: a lost answer to the transaction that takes the leader key cost 4 s; the second that a controller waits that hears nobody began anew with each try; one lost renewal left two tries within a lease.

Change: a request of an election is sent once more after 0.5 s; the wait alone counts from when somebody last led; two renewals may be under way, by two threads. No worker is sent to a leader that isn't heard.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -11,6 +11,9 @@
 pub const LEADER_LEASE_S: f64 = LEADER_LEASE_MS as f64 / 1e3;
 /// Seconds between renewals: five tries within a lease.
 pub const KEEP_ALIVE_EVERY_S: f64 = 0.6;
+/// Renewals without an answer that may be under way at once, as many as the threads that make
+/// them: one lost answer holds up no other, and there are four tries within a lease.
+pub const RENEWALS_UNANSWERED_MAX: usize = 2;
 /// Taken off a lease's certain life, seconds: owner-queue delay between the
 /// authority check and the bytes leaving.
 pub const LEADER_LEASE_MARGIN_S: f64 = 0.25;
@@ -100,6 +103,9 @@
 /// Heartbeats that waited and are answered in one step at most, so that what is due comes in
 /// between.
 pub const WAITING_HEARTBEATS_PER_STEP: usize = 128;
+/// A request of an election that has no answer after so long is sent once more, seconds: the
+/// state service takes a few hundred ms now and then, while workers' leases wait for a leader.
+pub const ELECTION_RESEND_S: f64 = 0.5;
 /// Wait after a failed attempt to stand, seconds.
 pub const STAND_RETRY_S: f64 = 0.4;
 
--- a/crates/core/src/election/campaign.rs
+++ b/crates/core/src/election/campaign.rs
@@ -40,8 +40,8 @@
             }
             Some(_) => self.candidacy.note_leader(now),
             None if self.candidacy.may_stand(now) => {
-                let op = out.store(StoreRequest::GrantLease(LEADER_LEASE_MS));
-                self.role = Role::LeaseRequested { op, since: now };
+                self.step.send(now, StoreRequest::GrantLease(LEADER_LEASE_MS), out);
+                self.role = Role::LeaseRequested { since: now };
             }
             None => {}
         }
@@ -55,6 +55,7 @@
     /// Follows again, and stands no sooner than after a while.
     pub(super) fn fall_back(&mut self, now: Secs) {
         self.role = Role::Follower;
+        self.step.abandon();
         self.candidacy.retry_later(now);
     }
 
@@ -66,29 +67,32 @@
         result: &StoreResult,
         out: &mut ActionSink,
     ) -> Option<LeadershipChange> {
+        if !self.step.answered(answered) {
+            return None;
+        }
+        let no_answer = matches!(result, StoreResult::Refused | StoreResult::Unknown);
+        if no_answer && self.step.is_open() {
+            // A copy of the request is under way.
+            return Some(LeadershipChange::None);
+        }
         match self.role {
-            Role::LeaseRequested { op, since } if op == answered => {
-                self.granted(now, since, result, out);
-                Some(LeadershipChange::None)
-            }
-            Role::Reading { op, lease, since } if op == answered => {
-                match result {
-                    StoreResult::Value(item) => self.stand(now, lease, since, item.as_ref(), out),
-                    _ => self.fall_back(now),
-                }
-                Some(LeadershipChange::None)
+            Role::LeaseRequested { since } => self.granted(now, since, result, out),
+            Role::Reading { lease, since } => match result {
+                StoreResult::Value(item) => self.stand(now, lease, since, item.as_ref(), out),
+                _ => self.fall_back(now),
+            },
+            Role::Candidate { lease, since, term } => {
+                return Some(self.candidacy_answered(now, lease, since, term, result));
             }
-            Role::Candidate { op: Some(op), lease, since, term } if op == answered => {
-                Some(self.candidacy_answered(now, lease, since, term, result))
-            }
-            _ => None,
+            Role::Follower | Role::Leader(_) => {}
         }
+        Some(LeadershipChange::None)
     }
 
     fn granted(&mut self, now: Secs, since: Secs, result: &StoreResult, out: &mut ActionSink) {
         let StoreResult::LeaseGranted(lease) = result else { return self.fall_back(now) };
-        let op = out.store(StoreRequest::Get(TERM.into()));
-        self.role = Role::Reading { op, lease: *lease, since };
+        self.step.send(now, StoreRequest::Get(TERM.into()), out);
+        self.role = Role::Reading { lease: *lease, since };
     }
 
     fn candidacy_answered(
@@ -103,10 +107,9 @@
             StoreResult::Committed(version) => {
                 return self.win(now, lease, since, term, *version);
             }
-            // The watch will tell.
-            StoreResult::Unknown => {
-                self.role = Role::Candidate { op: None, lease, since, term };
-            }
+            // The watch will tell. A copy that failed may have met the key that the other put.
+            StoreResult::Unknown => {}
+            StoreResult::Conflict(_) if self.step.was_resent() => {}
             _ => self.fall_back(now),
         }
         LeadershipChange::None
@@ -126,8 +129,9 @@
         }
         let Some(counter) = TermCounter::of(counter) else { return self.fall_back(now) };
         let term = Term(counter.term + 1);
-        let op = out.store(StoreRequest::Commit(self.campaign_txn(lease, term, counter.version)));
-        self.role = Role::Candidate { op: Some(op), lease, since, term };
+        let txn = self.campaign_txn(lease, term, counter.version);
+        self.step.send(now, StoreRequest::Commit(txn), out);
+        self.role = Role::Candidate { lease, since, term };
     }
 
     /// Takes the leader key and counts the term, if nobody else did either.
@@ -157,6 +161,7 @@
     ) -> LeadershipChange {
         let valid_until = lease::certain_until(since);
         self.pledges.clear();
+        self.step.abandon();
         self.lease.begin(now);
         self.role = Role::Leader(Leadership { lease, term, version, valid_until });
         LeadershipChange::Won
--- a/crates/core/src/election/candidacy.rs
+++ b/crates/core/src/election/candidacy.rs
@@ -17,6 +17,8 @@
     fresh_wait: Option<BTreeSet<NodeId>>,
     /// Since when it has heard no other controller.
     alone_since: Option<Secs>,
+    /// When a leader was last known.
+    led_at: Secs,
     /// The controller that workers try after this one is silent, while another isn't.
     next_silent: bool,
 }
@@ -30,6 +32,7 @@
             peers,
             fresh_wait: Some(BTreeSet::new()),
             alone_since: None,
+            led_at: now,
             next_silent: false,
         }
     }
@@ -56,9 +59,10 @@
         if self.next_silent { NEXT_SILENT_S } else { 0.0 }
     }
 
-    /// Hears no other controller, and hasn't waited the longer for it.
+    /// Hears no other controller, and hasn't waited the longer for it since nobody leads. (Once
+    /// the wait began anew with every try, and an election with a lost answer took 3 s more.)
     fn waits_alone(&self, now: Secs) -> bool {
-        self.alone_since.is_some_and(|since| now - since.max(self.not_before) < ALONE_S)
+        self.alone_since.is_some_and(|since| now - since.max(self.led_at) < ALONE_S)
     }
 
     /// Stands no sooner than that.
@@ -68,6 +72,7 @@
 
     /// Somebody leads.
     pub(super) fn note_leader(&mut self, now: Secs) {
+        self.led_at = now;
         self.wait_until(now + self.spread);
     }
 
--- a/crates/core/src/election/lease.rs
+++ b/crates/core/src/election/lease.rs
@@ -4,7 +4,7 @@
 use crate::event::{ActionSink, OpId, Secs, StoreRequest};
 
 /// A renewal of the lease that the store hasn't answered.
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug)]
 struct PendingRenewal {
     op: OpId,
     sent: Secs,
@@ -13,7 +13,7 @@
 /// When the lease is renewed, and how that goes.
 #[derive(Debug, Default)]
 pub(super) struct LeaseRenewal {
-    pending: Option<PendingRenewal>,
+    pending: Vec<PendingRenewal>,
     next_renewal: Secs,
     failing: bool,
 }
@@ -32,34 +32,34 @@
 
     /// Renews the lease, if it is time.
     pub(super) fn renew_if_due(&mut self, now: Secs, lease: u64, out: &mut ActionSink) {
-        if self.pending.is_none() && now >= self.next_renewal {
+        if self.pending.len() < RENEWALS_UNANSWERED_MAX && now >= self.next_renewal {
             let op = out.store(StoreRequest::KeepAlive(lease));
-            self.pending = Some(PendingRenewal { op, sent: now });
+            self.pending.push(PendingRenewal { op, sent: now });
+            self.next_renewal = now + KEEP_ALIVE_EVERY_S;
         }
     }
 
     /// If the answer is to a renewal: when that was sent.
     pub(super) fn answered(&mut self, op: OpId) -> Option<Secs> {
-        let sent = self.pending.filter(|renewal| renewal.op == op)?.sent;
-        self.pending = None;
-        Some(sent)
+        let at = self.pending.iter().position(|renewal| renewal.op == op)?;
+        Some(self.pending.remove(at).sent)
     }
 
     /// The renewal sent at that time was carried out.
     pub(super) fn renewed(&mut self, sent: Secs) {
-        self.next_renewal = sent + KEEP_ALIVE_EVERY_S;
+        self.next_renewal = self.next_renewal.max(sent + KEEP_ALIVE_EVERY_S);
         self.failing = false;
     }
 
     /// A renewal failed, or its answer is lost.
     pub(super) fn failed(&mut self, now: Secs) {
-        self.next_renewal = now + STORE_RETRY_S;
+        self.next_renewal = self.next_renewal.min(now + STORE_RETRY_S);
         self.failing = true;
     }
 
     /// Waits for no answer any more.
     pub(super) fn abandon(&mut self) {
-        self.pending = None;
+        self.pending.clear();
     }
 }
 
--- a/crates/core/src/election/mod.rs
+++ b/crates/core/src/election/mod.rs
@@ -13,6 +13,7 @@
 mod lease;
 mod placement;
 mod pledges;
+mod step_request;
 
 use crate::consts::*;
 use crate::event::{ActionSink, OpId, PledgeAnswer, Secs, StoreRequest, StoreResult};
@@ -23,6 +24,7 @@
 pub use placement::Placement;
 use pledges::Pledges;
 use std::fmt;
+use step_request::StepRequest;
 
 /// A leadership.
 #[derive(Debug, Clone)]
@@ -54,12 +56,11 @@
     /// Another leads, or nobody.
     Follower,
     /// Asked for a lease.
-    LeaseRequested { op: OpId, since: Secs },
+    LeaseRequested { since: Secs },
     /// Reads the term counter.
-    Reading { op: OpId, lease: u64, since: Secs },
-    /// Sent the transaction that makes it leader; without `op`, the answer is lost and the
-    /// watch will tell.
-    Candidate { op: Option<OpId>, lease: u64, since: Secs, term: Term },
+    Reading { lease: u64, since: Secs },
+    /// Sent the transaction that makes it leader; if its answers are lost, the watch will tell.
+    Candidate { lease: u64, since: Secs, term: Term },
     /// Leads.
     Leader(Leadership),
 }
@@ -113,6 +114,8 @@
     boot: u64,
     peers: Vec<NodeId>,
     role: Role,
+    /// What the step of the election that is under way asks of the store.
+    step: StepRequest,
     candidacy: Candidacy,
     lease: LeaseRenewal,
     pledges: Pledges,
@@ -129,6 +132,7 @@
             candidacy: Candidacy::new(peers.len(), boot, now),
             peers,
             role: Role::Follower,
+            step: StepRequest::default(),
             lease: LeaseRenewal::default(),
             pledges: Pledges::default(),
             revoked: None,
@@ -177,12 +181,14 @@
     pub fn tick(&mut self, now: Secs, replica: &Replica, out: &mut ActionSink) -> LeadershipChange {
         match &self.role {
             Role::Follower => self.follow(now, replica, out),
-            Role::LeaseRequested { since, .. } | Role::Reading { since, .. } => {
+            Role::LeaseRequested { since } | Role::Reading { since, .. } => {
+                self.step.resend_if_due(now, out);
                 if now > *since + LEADER_LEASE_S {
                     self.fall_back(now);
                 }
             }
             Role::Candidate { since, .. } => {
+                self.step.resend_if_due(now, out);
                 // The lease isn't renewed, so by then whatever became of the transaction, the
                 // key is gone or was never there.
                 if now > *since + LEADER_LEASE_S + 1.0 {
@@ -274,7 +280,8 @@
         };
         match result {
             StoreResult::LeaseRenewed => {
-                leadership.valid_until = lease::certain_until(sent);
+                // Answers may come in another order than the renewals were sent.
+                leadership.valid_until = leadership.valid_until.max(lease::certain_until(sent));
                 self.lease.renewed(sent);
                 LeadershipChange::None
             }
@@ -297,12 +304,17 @@
                 LeadershipChange::None
             }
             (Role::Leader(_), Some(_)) => self.lose(now, LossReason::Superseded),
-            (Role::Candidate { lease, since, term, .. }, Some((record, version)))
+            (Role::Candidate { lease, since, term }, Some((record, version)))
                 if record.boot == self.boot && record.lease == *lease =>
             {
                 let (lease, since, term) = (*lease, *since, *term);
                 self.win(now, lease, since, term, *version)
             }
+            (Role::Candidate { .. }, Some(_)) => {
+                // Another won.
+                self.fall_back(now);
+                LeadershipChange::None
+            }
             _ => LeadershipChange::None,
         }
     }
--- a/crates/core/src/node/worker_heartbeats.rs
+++ b/crates/core/src/node/worker_heartbeats.rs
@@ -1,7 +1,7 @@
 //! Heartbeats of workers, as any controller takes them.
 
 use super::Node;
-use crate::consts::{WAITING_HEARTBEATS_PER_STEP, WATCH_LAG_S};
+use crate::consts::WAITING_HEARTBEATS_PER_STEP;
 use crate::event::{Answer, ReplyTo, Secs};
 use marblebarrow_proto::ids::NodeId;
 use marblebarrow_proto::wire::Heartbeat;
@@ -43,7 +43,7 @@
         self.other_leader(now).is_none()
             && self.replica.synced
             && !self.store_bad()
-            && now - self.replica.current_at < WATCH_LAG_S
+            && now - self.replica.current_at < self.facts.replica_age_to_resign()
     }
 
     /// Another controller that leads, as the watch shows.
@@ -52,12 +52,10 @@
         leader.filter(|node| **node != self.facts.node)
     }
 
-    /// The same, unless it alone of the others is silent: then its key will be gone soon. (A
-    /// renewal of a leader that had ended was once carried out 3 s late, and workers were sent
-    /// back to it, 4 s each.)
+    /// The same, unless it is silent: then its key may be gone soon. (A renewal of a leader that
+    /// had ended was once carried out 3 s late, and workers were sent back to it, 4 s each.)
     fn other_leader(&self, now: Secs) -> Option<&NodeId> {
-        let company = self.facts.others.iter().any(|peer| self.heard(now, Some(peer)));
-        self.shown_leader().filter(|leader| !company || self.heard(now, Some(*leader)))
+        self.shown_leader().filter(|leader| self.heard(now, Some(*leader)))
     }
 
     fn answer_heartbeat(&mut self, now: Secs, to: ReplyTo, heartbeat: &Heartbeat) {
--- a/src/links/store.rs
+++ b/src/links/store.rs
@@ -8,6 +8,7 @@
 use crate::store_client::store_call;
 use crate::thread::spawn;
 use crate::watch::Watch;
+use marblebarrow_core::consts::RENEWALS_UNANSWERED_MAX;
 use marblebarrow_core::event::{Event, OpId, StoreRequest, StoreResult};
 use marblebarrow_core::facts::WatchTiming;
 use std::io;
@@ -38,10 +39,13 @@
         for _ in 0..STORE_THREADS {
             spawn_client("store", addr, &data_queue, events)?;
         }
-        // Store leases (the wire's grants: elections, renewals) have a thread of their own:
-        // the leader's right to act must not wait behind a user's request.
+        // Store leases (the wire's grants: elections, renewals) have threads of their own:
+        // the leader's right to act must not wait behind a user's request, nor a renewal
+        // behind one that gets no answer.
         let (leases, lease_queue) = RequestQueue::bounded(STORE_QUEUE_LEN);
-        spawn_client("touch", addr, &lease_queue, events)?;
+        for _ in 0..RENEWALS_UNANSWERED_MAX {
+            spawn_client("touch", addr, &lease_queue, events)?;
+        }
         let watch = Watch::new(addr, events.clone(), clock, watch_timing);
         spawn("watch", move || watch.run())?;
         Ok(Self { data, leases })
