Machines that have just come up count as capacity

Cause: not a death: these were idle machines, rented twice. Machines that had reported once, and not yet shown that our words reach them, counted neither as booting nor as usable (plans at 8.7 and 9.2 s: capacity 78 and 66, 12 machines just up), and were rented again.

--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -183,6 +183,17 @@
             && self.notice.is_none()
     }
 
+    /// Whether it has only just come up, and hasn't shown yet that our words reach it.
+    pub fn is_just_up(&self, now: Secs) -> bool {
+        self.heard.is_some()
+            && !self.confirmed
+            && now - self.first_heard < WORKER_GIVES_UP_S
+            && self.lapsed.is_none()
+            && !self.cordoned
+            && !self.releasing
+            && self.notice.is_none()
+    }
+
     /// Whether our words reached it lately.
     pub fn hears(&self, now: Secs, heartbeat_interval_s: f64) -> bool {
         self.reached.is_some_and(|at| {
--- a/crates/core/src/provision/capacity.rs
+++ b/crates/core/src/provision/capacity.rs
@@ -4,6 +4,7 @@
 use crate::cloud_requests::{Booting, UnansweredRent};
 use crate::consts::*;
 use crate::event::Secs;
+use crate::fleet::Machine;
 use crate::leader::Leader;
 use marblebarrow_proto::ids::MachineId;
 use marblebarrow_proto::wire::MachineType;
@@ -16,7 +17,8 @@
 const BOOT_REPORT_S: f64 = 5.0;
 
 impl Leader {
-    /// What is free on machines that are up, but for one, and on those that boot.
+    /// What is free on machines that are up, but for one, and on those that boot or are being
+    /// rented. Usable machines come first, in their order.
     pub(super) fn capacity(&self, now: Secs, without: Option<&MachineId>) -> Vec<Capacity> {
         let types: TypesByName = self
             .cloud_requests
@@ -25,18 +27,17 @@
             .enumerate()
             .map(|(index, t)| (t.name.as_str(), (index, t)))
             .collect();
-        let mut capacity = Vec::new();
-        for (id, m) in &self.machines {
-            if Some(id) == without || !m.usable(now, self.facts.heartbeat_interval_s) {
-                continue;
-            }
-            let found = types.get(m.info.kind.as_str());
-            capacity.extend(found.map(|(index, t)| Capacity {
-                available_at: now,
-                free: m.free(),
-                location: location(*index, t, &m.info.zone, m.info.spot),
-            }));
-        }
+        let up = |m: &Machine| {
+            let (index, t) = types.get(m.info.kind.as_str())?;
+            let location = location(*index, t, &m.info.zone, m.info.spot);
+            Some(Capacity { available_at: now, free: m.free(), location })
+        };
+        let others = || self.machines.iter().filter(|(id, _)| Some(*id) != without).map(|(_, m)| m);
+        let usable = others().filter(|m| m.usable(now, self.facts.heartbeat_interval_s));
+        // Those that have just come up boot no more, and are usable within a second. (Twelve
+        // of them, counted as neither, were once rented again.)
+        let just_up = others().filter(|m| m.is_just_up(now));
+        let mut capacity: Vec<Capacity> = usable.chain(just_up).filter_map(up).collect();
         for machine in self.cloud_requests.booting.values().filter(|b| !b.failed) {
             let found = types.get(machine.kind.as_str());
             capacity.extend(found.and_then(|(index, t)| self.booting(now, machine, *index, t)));
