--- a/crates/core/src/node/worker_heartbeats.rs
+++ b/crates/core/src/node/worker_heartbeats.rs
@@ -1,7 +1,7 @@
 //! Heartbeats of workers, as any controller takes them.
 
 use super::Node;
-use crate::consts::{PEER_WORD_DELAY_S, WAITING_HEARTBEATS_PER_STEP};
+use crate::consts::{LEADER_LEASE_S, PEER_WORD_DELAY_S, WAITING_HEARTBEATS_PER_STEP};
 use crate::event::{Answer, ReplyTo, Secs};
 use marblebarrow_proto::ids::NodeId;
 use marblebarrow_proto::wire::Heartbeat;
@@ -37,12 +37,12 @@
     }
 
     /// Whether nobody is known to lead, and this controller will learn of a leader as soon as
-    /// there is one: the store serves it, and its watch goes on. In an outage nobody can be
-    /// elected.
+    /// there is one: the store served it lately, and its watch goes on. In an outage nobody can
+    /// be elected.
     fn leader_soon_known(&self, now: Secs) -> bool {
         self.other_leader(now).is_none()
             && self.replica.synced
-            && !self.store_bad()
+            && now - self.store_ok_at < LEADER_LEASE_S
             && now - self.replica.current_at < self.facts.replica_age_to_resign()
     }
 
--- a/src/links/worker.rs
+++ b/src/links/worker.rs
@@ -28,7 +28,7 @@
     pub fn new(events: &EventSender, authority: &Authority, threads: usize) -> Self {
         let (events, authority) = (events.clone(), authority.clone());
         Self(Pool::new("direct", threads, threads, move |worker_call: WorkerCall| {
-            let result = call(&worker_call, &authority);
+            let result = call(&worker_call, |token| authority.permits(token));
             events.send(Event::Direct(worker_call.op, result));
         }))
     }
@@ -44,14 +44,15 @@
     }
 }
 
-fn call(worker_call: &WorkerCall, authority: &Authority) -> DirectResult {
+/// Sends commands, if `permits` says that this process may act with their fencing token.
+fn call(worker_call: &WorkerCall, permits: impl Fn(u64) -> bool) -> DirectResult {
     let mut client = Client::new(worker_call.addr);
     if client.connect().is_err() {
         return DirectResult::NotSent;
     }
     // Checked last of all: connecting takes its time, and so may a process
     // that stands still.
-    if !authority.permits(worker_call.commands.fencing_token) {
+    if !permits(worker_call.commands.fencing_token) {
         return DirectResult::NotSent;
     }
     let body = cbor::encode(&worker_call.commands);
@@ -71,3 +72,7 @@
         _ => DirectResult::Unknown,
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/worker_link.rs"]
+mod tests;
