What only a leader may send goes over the connection made before the check

Symptom: a direct command went out over a connection made after its authority was checked (worker_link.rs); rents and releases likewise (cloud_link.rs).

Cause: a connection idle for 0.8 s is looked at before its use, and where it is closed another was made, up to 0.6 s later.

Change: Client::call_connected uses the connection made before the check, or none.

--- a/crates/core/tests/uncertain_records.rs
+++ b/crates/core/tests/uncertain_records.rs
@@ -265,10 +265,10 @@
                     let result = DirectResult::Heartbeat(good, Box::new(self.worker.clone()));
                     self.node.handle(self.now, 0, Event::Direct(op, result));
                 }
-                Action::Reply(_, Answer::Heartbeat(answer)) => {
-                    if answer.fencing_token >= self.worker.fencing_token {
-                        self.obey(answer.fencing_token, &answer.commands);
-                    }
+                Action::Reply(_, Answer::Heartbeat(answer))
+                    if answer.fencing_token >= self.worker.fencing_token =>
+                {
+                    self.obey(answer.fencing_token, &answer.commands);
                 }
                 _ => {}
             }
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -42,12 +42,13 @@
         Self { addr, kept: None }
     }
 
-    /// Connects, unless a connection is kept.
+    /// Connects, unless a usable connection is kept.
     pub fn connect(&mut self) -> io::Result<()> {
-        if self.kept.is_none() {
-            let connection = self.open()?;
-            self.keep(connection);
-        }
+        let connection = match self.take_usable() {
+            Some(connection) => connection,
+            None => self.open()?,
+        };
+        self.keep(connection);
         Ok(())
     }
 
@@ -59,10 +60,34 @@
         body: &[u8],
         timeout: Duration,
     ) -> Result<ClientResponse, CallError> {
-        let mut connection = match self.take_usable() {
+        let connection = match self.take_usable() {
             Some(connection) => connection,
             None => self.open().map_err(|_| CallError::NotSent)?,
         };
+        self.exchange(connection, method, path, body, timeout)
+    }
+
+    /// The same over the connection that [`Client::connect`] made, and no other: what was
+    /// checked since then may not hold by the time that another is made.
+    pub fn call_connected(
+        &mut self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        timeout: Duration,
+    ) -> Result<ClientResponse, CallError> {
+        let connection = self.take_usable().ok_or(CallError::NotSent)?;
+        self.exchange(connection, method, path, body, timeout)
+    }
+
+    fn exchange(
+        &mut self,
+        mut connection: Connection,
+        method: &str,
+        path: &str,
+        body: &[u8],
+        timeout: Duration,
+    ) -> Result<ClientResponse, CallError> {
         let request = self.encode_request(method, path, body);
         connection.stream.write_all(&request).map_err(|_| CallError::Unknown)?;
         let response = connection.read_response(Instant::now() + timeout);
--- a/src/links/cloud.rs
+++ b/src/links/cloud.rs
@@ -75,17 +75,18 @@
 ) {
     let mut client = Client::new(addr);
     while let Some(CloudCall { op, request, leader_term }) = calls.next() {
-        // Decided before this process stood still, say: another may
-        // lead by now, and use what we would return.
-        let result = match leader_term {
-            Some(term) if !authority.permits(term) => CloudResult::Refused,
-            _ => call(&mut client, &request),
-        };
-        events.send(Event::Cloud(op, result));
+        let permitted = || leader_term.is_none_or(|term| authority.permits(term));
+        events.send(Event::Cloud(op, call(&mut client, &request, permitted)));
     }
 }
 
-fn call(client: &mut Client, request: &CloudRequest) -> CloudResult {
+/// Makes a request, if it is permitted: decided before this process stood still, say, another
+/// may lead by now, and use what we would return. So it goes over the connection made before
+/// the check, or not at all.
+fn call(client: &mut Client, request: &CloudRequest, permitted: impl Fn() -> bool) -> CloudResult {
+    if client.connect().is_err() || !permitted() {
+        return CloudResult::Refused;
+    }
     match send(client, request) {
         Ok(response) => read_response(request, &response),
         Err(CallError::NotSent) => CloudResult::Refused,
@@ -95,18 +96,18 @@
 
 fn send(client: &mut Client, request: &CloudRequest) -> Result<ClientResponse, CallError> {
     match request {
-        CloudRequest::Types => client.call("GET", "/flavors", &[], CLOUD_TIMEOUT),
+        CloudRequest::Types => client.call_connected("GET", "/flavors", &[], CLOUD_TIMEOUT),
         CloudRequest::List { after } => {
             let after = after.as_ref().map_or(String::new(), |name| format!("after={name}&"));
             let path = format!("/hosts?{after}limit={LIST_LIMIT}");
-            client.call("GET", &path, &[], CLOUD_TIMEOUT)
+            client.call_connected("GET", &path, &[], CLOUD_TIMEOUT)
         }
         CloudRequest::Rent(rent) => {
-            client.call("POST", "/hosts", &cbor::encode(rent), CLOUD_TIMEOUT)
+            client.call_connected("POST", "/hosts", &cbor::encode(rent), CLOUD_TIMEOUT)
         }
         CloudRequest::Release(names) => {
             let body = cbor::encode(&MachineNames { machines: names.clone() });
-            client.call("POST", "/hosts/release", &body, CLOUD_TIMEOUT)
+            client.call_connected("POST", "/hosts/release", &body, CLOUD_TIMEOUT)
         }
     }
 }
@@ -134,3 +135,7 @@
 fn says_no_capacity(body: &[u8]) -> bool {
     cbor::decode::<ErrorBody>(body).is_ok_and(|body| body.error == NO_CAPACITY)
 }
+
+#[cfg(test)]
+#[path = "../tests/cloud_link.rs"]
+mod tests;
--- a/src/links/worker.rs
+++ b/src/links/worker.rs
@@ -50,13 +50,13 @@
     if client.connect().is_err() {
         return DirectResult::NotSent;
     }
-    // Checked last of all: connecting takes its time, and so may a process
-    // that stands still.
+    // Checked last of all: connecting takes its time, and so may a process that stands still.
+    // So the commands go over this connection or not at all.
     if !permits(worker_call.commands.fencing_token) {
         return DirectResult::NotSent;
     }
     let body = cbor::encode(&worker_call.commands);
-    match client.call("POST", "/do", &body, WORKER_TIMEOUT) {
+    match client.call_connected("POST", "/do", &body, WORKER_TIMEOUT) {
         Ok(response) => read_response(response.status, &response.body),
         Err(CallError::NotSent) => DirectResult::NotSent,
         Err(CallError::Unknown | CallError::Unreadable) => DirectResult::Unknown,
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,9 @@
 mod cells_cli;
 mod cli;
 mod clock;
+#[cfg(test)]
+#[path = "tests/closing_listener.rs"]
+mod closing_listener;
 mod controller;
 mod event_loop;
 mod event_queue;
