Polls have the cascade lists read where the watch doesn't bring them

Cause: queued and running are proven by a transaction that requires the cascade generation known here, which only the watch brought.

Change: a poll that has waited 0.3 s has the lists read from the store, once for each generation. The generation key sorts before the lists, so that what changes while they are read fails the check.

--- a/crates/core/src/consts.rs
+++ b/crates/core/src/consts.rs
@@ -566,6 +566,9 @@
 /// How long a poll waits for a copy that lacks the latest cascade, seconds: users wait 2 s
 /// for an answer (protocol page), and a watch brings a change within tenths of one.
 pub const CASCADE_WAIT_S: f64 = 1.0;
+/// A poll that has waited so long for the watch has the lists read from the store, seconds: a
+/// watch that goes on is quicker, and there is time for the pages within the wait above.
+pub const CASCADE_READ_AFTER_S: f64 = 0.3;
 /// Pause before a check is tried again with such a copy, seconds: ten requests a second.
 pub const CASCADE_LOOK_S: f64 = 0.1;
 /// Jobs queued for cancellation from which on they are recorded in lists, instead of one by
--- a/crates/core/src/user_api.rs
+++ b/crates/core/src/user_api.rs
@@ -30,15 +30,19 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 mod cancellations;
+mod cascade_reads;
 mod polls;
 mod submissions;
 
+use cascade_reads::CascadeReads;
 use polls::{CheckedPoll, Poll};
 
 #[derive(Debug)]
 enum Pending {
     /// A check behind polls.
     Check(Vec<CheckedPoll>),
+    /// A page of the cascade lists.
+    CascadePage,
     /// A check that an accepted job is neither over nor cancelled by a cascade.
     OpenCheck(Poll),
     /// The transaction of a submission.
@@ -76,6 +80,8 @@
     polls: VecDeque<Poll>,
     check_running: bool,
     next_check: Secs,
+    /// The cascade lists, as read where the watch doesn't bring them.
+    cascade_reads: CascadeReads,
     writes: usize,
     terminal_states: HashMap<JobId, EndRecord>,
     terminal_order: VecDeque<JobId>,
@@ -179,6 +185,7 @@
             Pending::Check(asked) => self.checked(context, asked, result, out),
             // The user asks again, whatever came of it.
             Pending::CancelWanted => {}
+            Pending::CascadePage => self.cascade_page_read(context, result, out),
             Pending::OpenCheck(poll) => self.open_checked(context, poll, result, out),
             Pending::DependencyCheck(mut check, batch) => {
                 match check.absence_answered(batch, result) {
--- a/crates/core/src/user_api/cancellations.rs
+++ b/crates/core/src/user_api/cancellations.rs
@@ -21,7 +21,7 @@
             return out.reply(to, Answer::Job(200, terminal_status(&id, end)));
         }
         // It has no task (it waits for a job that is never done), so nothing is to be stopped.
-        if context.replica.cascaded.contains(&id) {
+        if self.cascaded(context).contains(&id) {
             return out.reply(to, Answer::Job(200, cancelled_status(id)));
         }
         if context.store_bad {
--- a/crates/core/src/user_api/polls.rs
+++ b/crates/core/src/user_api/polls.rs
@@ -40,7 +40,7 @@
         if let Some(end) = self.terminal_states.get(&id) {
             return out.reply(to, Answer::Job(200, terminal_status(&id, end)));
         }
-        if context.replica.cascaded.contains(&id) {
+        if self.cascaded(context).contains(&id) {
             return out.reply(to, Answer::Job(200, cancelled_status(id)));
         }
         if context.store_bad || !context.replica.synced {
@@ -55,6 +55,7 @@
 
     /// Steps with time.
     pub fn tick(&mut self, context: &RequestContext<'_>, out: &mut ActionSink) {
+        self.drop_old_cascade_reads(context);
         self.check(context, out);
     }
 
@@ -74,7 +75,7 @@
         let mut keys: BTreeSet<String> = BTreeSet::new();
         let mut asked = Vec::new();
         while let Some(poll) = self.polls.pop_front() {
-            if context.replica.cascaded.contains(&poll.job) {
+            if self.cascaded(context).contains(&poll.job) {
                 out.reply(poll.to, Answer::Job(200, cancelled_status(poll.job)));
                 continue;
             }
@@ -94,7 +95,7 @@
             return;
         }
         let mut conds: Vec<Cond> = keys.into_iter().map(|key| Cond { key, version: 0 }).collect();
-        conds.push(generation_condition(context));
+        conds.push(self.generation_condition(context));
         let op = out.store(StoreRequest::Commit(Txn { conds, writes: Vec::new() }));
         self.check_running = true;
         self.pending.insert(op, Pending::Check(asked));
@@ -109,7 +110,7 @@
         out: &mut ActionSink,
     ) {
         let end = Cond { key: end_key(&poll.job), version: 0 };
-        let conds = vec![end, generation_condition(context)];
+        let conds = vec![end, self.generation_condition(context)];
         let op = out.store(StoreRequest::Commit(Txn { conds, writes: Vec::new() }));
         self.pending.insert(op, Pending::OpenCheck(poll));
     }
@@ -141,7 +142,7 @@
         poll: Poll,
         out: &mut ActionSink,
     ) {
-        let status = if context.replica.cascaded.contains(&poll.job) {
+        let status = if self.cascaded(context).contains(&poll.job) {
             cancelled_status(poll.job)
         } else {
             self.open_status(context, poll.job)
@@ -149,7 +150,8 @@
         out.reply(poll.to, Answer::Job(200, status));
     }
 
-    /// A poll waits for this controller's copy to show the latest cascade, for a while.
+    /// A poll waits for this controller to learn of the latest cascade, for a while: from its
+    /// watch, or else by reading the lists.
     pub(super) fn poll_later(
         &mut self,
         context: &RequestContext<'_>,
@@ -159,6 +161,9 @@
         if context.now - poll.since > CASCADE_WAIT_S {
             return out.reply(poll.to, Answer::Unavailable(RETRY_STORE_S));
         }
+        if context.now - poll.since > CASCADE_READ_AFTER_S {
+            self.read_cascades(context, out);
+        }
         self.next_check = self.next_check.max(context.now + CASCADE_LOOK_S);
         self.polls.push_back(poll);
     }
@@ -229,6 +234,12 @@
         JobStatus { id, stage, done, running, waits_on }
     }
 
+    /// The condition that no cascade was added that this controller doesn't know.
+    fn generation_condition(&self, context: &RequestContext<'_>) -> Cond {
+        let version = self.cascaded(context).generation();
+        Cond { key: CASCADE_GENERATION.into(), version }
+    }
+
     /// The DAG dependencies of a job that this controller still sees
     /// unfinished: their spec is in the replica and no final state is known.
     pub(super) fn unfinished_dependencies(
@@ -241,19 +252,13 @@
         };
         let unfinished = |d: &&JobId| {
             context.replica.specs.contains_key(*d)
-                && !context.replica.cascaded.contains(d)
+                && !self.cascaded(context).contains(d)
                 && !self.terminal_states.contains_key(*d)
         };
         record.spec.dependencies.iter().filter(unfinished).cloned().collect()
     }
 }
 
-/// The condition that no cascade was added that this controller doesn't know.
-fn generation_condition(context: &RequestContext<'_>) -> Cond {
-    let version = context.replica.cascaded.generation();
-    Cond { key: CASCADE_GENERATION.into(), version }
-}
-
 fn has_generation(failed_keys: &[String]) -> bool {
     failed_keys.iter().any(|key| key == CASCADE_GENERATION)
 }
--- a/crates/core/src/user_api/submissions.rs
+++ b/crates/core/src/user_api/submissions.rs
@@ -24,7 +24,7 @@
         if let Some(end) = self.terminal_states.get(&spec.id) {
             return out.reply(to, Answer::Job(200, terminal_status(&spec.id, end)));
         }
-        if context.replica.cascaded.contains(&spec.id) {
+        if self.cascaded(context).contains(&spec.id) {
             return out.reply(to, Answer::Job(200, cancelled_status(spec.id)));
         }
         if context.store_bad || !context.replica.synced {
@@ -94,7 +94,7 @@
         context: &RequestContext<'_>,
         dependency: &JobId,
     ) -> KnownDependency {
-        let cascaded = context.replica.cascaded.contains(dependency);
+        let cascaded = self.cascaded(context).contains(dependency);
         match self.terminal_states.get(dependency) {
             Some(end) if end.cancelled => KnownDependency::Cancelled,
             _ if cascaded => KnownDependency::Cancelled,
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -31,6 +31,8 @@
 pub const CASCADE_GENERATION: &str = "w/cascade-generation";
 /// Prefix of final states.
 pub const ENDS: &str = "end/";
+/// Prefix of the cascade generation and of the lists, which come in that order.
+pub const CASCADE_RECORDS: &str = "w/cascade";
 /// Prefix of progress.
 pub const PROGRESS: &str = "p/";
 /// Prefix of machine records.
