--- a/crates/core/tests/cluster/large_fleet.rs
+++ b/crates/core/tests/cluster/large_fleet.rs
@@ -5,9 +5,9 @@
 
 const MACHINES: usize = 4_200;
 /// Replicas of each service; half of the jobs are services.
-const REPLICAS: u32 = 600;
+pub(crate) const REPLICAS: u32 = 600;
 /// When a quarter of the machines dies and all controllers end, in steps.
-const LOSS_AT: u32 = 640;
+pub(crate) const LOSS_AT: u32 = 640;
 /// Bytes that values stay below here: half of what the store takes.
 const VALUE_LIMIT: usize = 8 * 1024;
 /// Largest body of a transaction (protocol page), bytes.
@@ -15,11 +15,11 @@
 /// Changes a second that the store takes in these tests, and as many at once.
 const STORE_RATE: usize = 60;
 
-fn fleet() -> World {
+pub(crate) fn fleet(seed: u64) -> World {
     let dies = |n: usize| (LOSS_AT, Trouble::MachineDies(n * 4));
     let mut troubles: Vec<_> = (0..MACHINES / 4).map(dies).collect();
     troubles.push((LOSS_AT + 1, Trouble::CrashAll(5)));
-    let mut world = World::new(12, troubles);
+    let mut world = World::new(seed, troubles);
     world.size = (MACHINES, 18_000.0);
     world.beat = (6.0, 31.0);
     world.page = 200;
@@ -32,7 +32,7 @@
 /// larger values, than it takes.
 #[test]
 fn four_thousand_machines_lose_a_quarter_in_a_takeover() {
-    let mut world = fleet();
+    let mut world = fleet(12);
     world.run(LOSS_AT - 5);
     assert_eq!(world.broken, Vec::<String>::new());
     let (up, replicas) = (world.up(), world.serving());
--- a/crates/core/tests/cluster/sweeps.rs
+++ b/crates/core/tests/cluster/sweeps.rs
@@ -5,7 +5,7 @@
 //!     SWEEP_SEEDS=0..240 cargo test --release -p marblebarrow-core --test cluster -- \
 //!         --nocapture sweep_one_down
 
-use crate::at_leader;
+use crate::{at_leader, large_fleet};
 use marblebarrow_rehearsal::world::{Trouble, World};
 use std::env;
 use std::ops::Range;
@@ -223,16 +223,44 @@
 
 /// When all replicas serve after all.
 fn back_at(world: &mut World, replicas: usize) -> String {
-    for at in (400..1_200).step_by(5) {
-        world.play(at);
+    for _ in 0..80 {
+        world.play(world.step() + 5);
         if world.serving() == replicas {
-            return format!("all at {at}");
+            return format!("all at {}", world.step());
         }
     }
-    format!("{} at 1200", world.serving())
+    format!("{} at {}", world.serving(), world.step())
 }
 
 #[test]
 fn sweep_quarter_lost_of_two_thousand() {
     sweep("quarter_lost", 33..34, quarter_lost);
 }
+
+/// The same of 4,200 machines, as `four_thousand_machines_lose_a_quarter_in_a_takeover` plays
+/// it, without its counts of bytes and changes.
+#[test]
+fn sweep_quarter_lost_of_four_thousand() {
+    sweep("quarter_lost_of_4200", 12..13, |seed| {
+        let mut world = large_fleet::fleet(seed);
+        loses_a_quarter(&mut world).map_err(|text| format!("{text}{}", timeline(&world)))
+    });
+}
+
+fn loses_a_quarter(world: &mut World) -> Result<(), String> {
+    let loss_at = large_fleet::LOSS_AT;
+    let all = 24 * large_fleet::REPLICAS as usize;
+    world.play(loss_at - 5);
+    unbroken(world)?;
+    if world.serving() != all {
+        return Err(format!("{} of {all} serve before, {}", world.serving(), back_at(world, all)));
+    }
+    world.play(loss_at + 10);
+    ensure(world.serving() < all - 2_500, || format!("{} serve after it", world.serving()))?;
+    world.run(loss_at + 600);
+    let serving = world.serving();
+    if serving != all {
+        return Err(format!("{serving} of {all} serve 60 s later, {}", back_at(world, all)));
+    }
+    unbroken(world)
+}
--- a/crates/rehearsal/src/world/views.rs
+++ b/crates/rehearsal/src/world/views.rs
@@ -24,4 +24,9 @@
     pub fn up(&self) -> usize {
         self.machines.values().filter(|w| !w.dead).count()
     }
+
+    /// The step that was played last.
+    pub fn step(&self) -> u32 {
+        self.step
+    }
 }
