--- /dev/null
+++ b/crates/core/tests/cluster/generated_troubles.rs
@@ -0,0 +1,113 @@
+//! Troubles at generated times, all rules checked.
+
+use crate::at_leader;
+use marblebarrow_rehearsal::world::{Held, Trouble, World};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+fn trouble() -> impl Strategy<Value = (u32, Trouble)> {
+    let kind = prop_oneof![
+        (0usize..3, 1u32..60).prop_map(|(n, s)| Trouble::Crash(n, s)),
+        (1u32..60).prop_map(Trouble::CrashAll),
+        // Back within a fraction of a second, also mid-election.
+        (0usize..3, 1u32..5).prop_map(|(n, s)| Trouble::Crash(n, s)),
+        (1u32..5).prop_map(Trouble::CrashAll),
+        (0usize..3, 1u32..200).prop_map(|(n, s)| Trouble::Isolated(n, s)),
+        (0usize..3, 1u32..400).prop_map(|(n, s)| Trouble::Freeze(n, s)),
+        (0usize..8, 1u32..400).prop_map(|(m, s)| Trouble::MachineDeaf(m, s)),
+        (0usize..8).prop_map(Trouble::MachineReborn),
+        (10u32..400).prop_map(Trouble::LateCopies),
+        (1u32..200).prop_map(Trouble::StoreSlow),
+        (1u32..200).prop_map(Trouble::PeersRefuse),
+        (10u32..200).prop_map(Trouble::LateWrites),
+        (0u32..60, 1u32..300).prop_map(|(f, s)| Trouble::Boots(f, s)),
+        (1u32..60).prop_map(Trouble::PollStorm),
+        (0usize..8, 1u32..300).prop_map(|(m, s)| Trouble::MachineSlow(m, s)),
+        (1u32..150).prop_map(Trouble::StoreDown),
+        (0usize..3, 1u32..200).prop_map(|(n, s)| Trouble::StoreRefuses(n, s)),
+        (0usize..3, 1u32..200).prop_map(|(n, s)| Trouble::WorkersCut(n, s)),
+        (0usize..8, 1u32..400).prop_map(|(m, s)| Trouble::MachineCut(m, s)),
+        (0usize..8).prop_map(Trouble::MachineDies),
+        (1u32..200).prop_map(Trouble::CloudDown),
+        held_commands(),
+    ];
+    (10u32..500, kind)
+}
+
+/// Single direct commands and answers are held, for less and more than a cancellation's time.
+fn held_commands() -> impl Strategy<Value = Trouble> {
+    let kind = (2u32..12, 1u32..300, 1u32..700, any::<bool>(), 1u32..400);
+    kind.prop_map(|(one_in, least, more, called_off, steps)| {
+        Trouble::HeldCommands(Held { one_in, least, most: least + more, called_off }, steps)
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 128,
+        rng_seed: RngSeed::Fixed(7),
+        failure_persistence: None,
+        max_shrink_iters: 60,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn rules_hold_under_troubles(
+        seed in any::<u64>(),
+        troubles in proptest::collection::vec(trouble(), 0..7),
+        gaps in any::<bool>(),
+        mistaken in proptest::option::of(2u32..9),
+    ) {
+        let mut world = World::new(seed, troubles);
+        (world.gaps, world.mistaken) = (gaps, mistaken);
+        world.width = if gaps { 3 } else { 6 };
+        world.run(1_600);
+        prop_assert_eq!(world.broken.clone(), Vec::<String>::new());
+    }
+}
+
+/// The rarer troubles, which meet the others in the test below.
+fn rarer_trouble() -> impl Strategy<Value = (u32, Trouble)> {
+    let kind = prop_oneof![
+        (1u32..400).prop_map(|s| at_leader(Trouble::WatchStuck(0, s))),
+        (1u32..200).prop_map(|s| at_leader(Trouble::StoreRefuses(0, s))),
+        (1u32..200).prop_map(|s| at_leader(Trouble::ZoneApart("a", 0, s))),
+        (1u32..60).prop_map(|s| at_leader(Trouble::Crash(0, s))),
+        (1u32..250).prop_map(Trouble::StoreDown),
+        (1usize..8).prop_map(Trouble::CancelNow),
+        (1u32..200).prop_map(Trouble::AnswersLost),
+        (1u32..200).prop_map(Trouble::KeptHeartbeats),
+        (1u32..100).prop_map(Trouble::CloseLooks),
+        (1u32..300).prop_map(Trouble::CancelAtEnd),
+        (0usize..8, 1u32..300).prop_map(|(m, s)| Trouble::MachineMute(m, s)),
+        (0usize..8, 1u32..200).prop_map(|(m, s)| Trouble::MachineHangs(m, s)),
+        (1u32..150).prop_map(Trouble::AllMute),
+        held_commands(),
+    ];
+    (10u32..500, kind)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 96,
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        max_shrink_iters: 60,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn rules_hold_under_rarer_troubles(
+        seed in any::<u64>(),
+        rarer in proptest::collection::vec(rarer_trouble(), 1..6),
+        others in proptest::collection::vec(trouble(), 0..4),
+        gaps in any::<bool>(),
+        zoned in any::<bool>(),
+    ) {
+        let mut world = World::new(seed, rarer.into_iter().chain(others).collect());
+        (world.gaps, world.zoned, world.odd) = (gaps, zoned, true);
+        world.width = if gaps { 3 } else { 6 };
+        world.run(1_700);
+        prop_assert_eq!(world.broken.clone(), Vec::<String>::new());
+    }
+}
--- /dev/null
+++ b/crates/core/tests/cluster/named_meetings.rs
@@ -0,0 +1,182 @@
+//! Meetings of troubles that the operators have named, with other luck each time.
+
+use crate::at_leader;
+use marblebarrow_rehearsal::world::{Met, Trouble, World};
+
+/// Plays a meeting of troubles with other luck each time, at the same times and some
+/// seconds later, with jobs whose tasks end far apart and many cancels.
+/// `met` counts, after the day, how often the troubles came about; in all that must be
+/// `least` or more.
+fn meet(troubles: &[(u32, Trouble)], met: impl Fn(&Met) -> u32, least: u32) {
+    let mut times = 0;
+    for seed in 0..12u64 {
+        let shift = (seed % 4) as u32 * 17;
+        let moved = troubles.iter().map(|(at, t)| (at + shift, t.clone())).collect();
+        let mut world = World::new(seed, moved);
+        (world.gaps, world.width, world.pace) = (true, 3, (12, 500));
+        world.run(1_700);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed} {troubles:?}");
+        assert!(world.starts > 60, "seed {seed}: only {} starts", world.starts);
+        times += met(&world.met);
+    }
+    assert!(times >= least, "the troubles met {times} times");
+}
+
+fn changes(met: &Met) -> u32 {
+    met.changes_of_leader.len() as u32
+}
+
+/// Controllers hand over and back, all end, and one returns, also within a second.
+#[test]
+fn handing_over_and_back_within_a_second() {
+    meet(
+        &[
+            (200, at_leader(Trouble::Crash(0, 4))),
+            (205, at_leader(Trouble::Crash(0, 2))),
+            (232, at_leader(Trouble::Crash(0, 6))),
+            (236, Trouble::CrashAll(3)),
+            (240, Trouble::Crash(1, 300)),
+            (240, Trouble::Crash(2, 300)),
+            (262, at_leader(Trouble::Crash(0, 1))),
+        ],
+        changes,
+        24,
+    );
+}
+
+/// A leader is cut off from the state service and the others, not from workers and
+/// users, while jobs are cancelled through the new one.
+#[test]
+fn cancelled_through_the_new_leader_while_the_old_is_cut_off() {
+    meet(
+        &[
+            (180, at_leader(Trouble::Isolated(0, 250))),
+            (330, at_leader(Trouble::Isolated(0, 250))),
+            (340, Trouble::LateCopies(200)),
+        ],
+        |met| changes(met).min(met.cancelled.len() as u32),
+        24,
+    );
+}
+
+/// The state service is slow, refuses the leader alone, then everybody for longer than
+/// a cancelled task may stay.
+#[test]
+fn the_store_refuses_one_and_then_all() {
+    meet(
+        &[
+            (150, Trouble::StoreSlow(120)),
+            (200, at_leader(Trouble::StoreRefuses(0, 300))),
+            (260, Trouble::StoreDown(260)),
+            (600, at_leader(Trouble::StoreRefuses(0, 40))),
+            (615, Trouble::StoreDown(30)),
+        ],
+        changes,
+        12,
+    );
+}
+
+/// Tasks of a job end far apart, the leader changes in between, and again.
+#[test]
+fn tasks_end_far_apart_across_changes_of_leader() {
+    let crash = |at| (at, at_leader(Trouble::Crash(0, 50)));
+    meet(&[crash(160), crash(230), crash(300), crash(370), crash(440), crash(510)], changes, 60);
+}
+
+/// Old heartbeats arrive after newer ones, also from earlier epochs and attempts.
+#[test]
+fn old_reports_arrive_after_newer_ones() {
+    meet(
+        &[
+            (120, Trouble::LateCopies(400)),
+            (150, Trouble::MachineDeaf(0, 130)),
+            (170, Trouble::MachineCut(1, 120)),
+            (200, at_leader(Trouble::Crash(0, 20))),
+            (320, Trouble::MachineDeaf(2, 130)),
+            (330, at_leader(Trouble::WorkersCut(0, 60))),
+        ],
+        |met| met.copies.min(met.unheard * 10),
+        240,
+    );
+}
+
+/// Commands and their answers are held up for seconds, and machines go on.
+#[test]
+fn commands_held_up_for_seconds() {
+    let held = |at, m| (at, Trouble::MachineCut(m, 40));
+    meet(
+        &[
+            held(140, 0),
+            held(150, 1),
+            held(160, 2),
+            (170, Trouble::MachineDeaf(3, 60)),
+            held(205, 3),
+            held(215, 1),
+            held(250, 0),
+            held(290, 3),
+            (255, at_leader(Trouble::Crash(0, 10))),
+            held(330, 1),
+            held(335, 2),
+            (360, at_leader(Trouble::Freeze(0, 35))),
+        ],
+        |met| met.held_orders,
+        24,
+    );
+}
+
+/// Transactions without an answer are carried out late, after newer ones.
+#[test]
+fn writes_take_effect_late_and_out_of_order() {
+    meet(
+        &[
+            (120, Trouble::LateWrites(200)),
+            (200, at_leader(Trouble::Crash(0, 15))),
+            (240, at_leader(Trouble::Freeze(0, 40))),
+            (330, Trouble::LateWrites(150)),
+            (350, Trouble::CrashAll(4)),
+        ],
+        |met| met.late_writes,
+        120,
+    );
+}
+
+/// A leader ends while machines with long tasks are out of reach, or don't hear the
+/// new one's answers.
+#[test]
+fn a_leader_ends_while_machines_are_out_of_reach() {
+    meet(
+        &[
+            (190, Trouble::MachineCut(0, 60)),
+            (192, Trouble::MachineDeaf(1, 70)),
+            (195, Trouble::MachineCut(2, 200)),
+            (200, at_leader(Trouble::Crash(0, 30))),
+            (215, Trouble::MachineDeaf(3, 200)),
+            (260, at_leader(Trouble::Crash(0, 30))),
+        ],
+        |met| met.unheard.min(changes(met) * 10),
+        24,
+    );
+}
+
+/// Pairs that no list names.
+#[test]
+fn troubles_meet_that_no_list_names() {
+    meet(
+        &[
+            (150, Trouble::Boots(50, 200)),
+            (160, Trouble::MachineDies(0)),
+            (160, Trouble::MachineDies(1)),
+            (170, Trouble::LateWrites(100)),
+            (175, Trouble::CloudDown(80)),
+            (200, Trouble::PollStorm(40)),
+            (205, at_leader(Trouble::StoreRefuses(0, 60))),
+            (230, Trouble::PeersRefuse(150)),
+            (300, at_leader(Trouble::Freeze(0, 50))),
+            (310, Trouble::Boots(0, 200)),
+            (320, Trouble::MachineReborn(2)),
+            (340, Trouble::CrashAll(2)),
+        ],
+        |met| met.late_writes.min(changes(met) * 10),
+        60,
+    );
+}
--- a/crates/core/tests/cluster/pipelines.rs
+++ b/crates/core/tests/cluster/pipelines.rs
@@ -3,9 +3,9 @@
 //! within the cancellation's time (`orphaned`), through failover, lost answers of the
 //! write of `done`, late copies of heartbeats and restarts within a second.
 
-use super::*;
+use crate::at_leader;
 use marblebarrow_proto::wire::Stage;
-use marblebarrow_rehearsal::world::{CascadePlan, CascadeTimes, StoreLimits};
+use marblebarrow_rehearsal::world::{CascadePlan, CascadeTimes, StoreLimits, Trouble, World};
 
 /// Plays a day with pipelines of three jobs under the troubles, over several seeds; every
 /// fourth job is called off a second after it was accepted.
--- /dev/null
+++ b/crates/core/tests/cluster/serving_fleets.rs
@@ -0,0 +1,89 @@
+//! Fleets that serve: machines that die, cuts that look like it, and a quarter lost.
+
+use marblebarrow_rehearsal::world::{Trouble, World};
+
+/// A service on eighty machines in two zones, at a real fleet's pace.
+fn serving_fleet(seed: u64, trouble: Vec<(u32, Trouble)>) -> World {
+    let mut world = World::new(seed, trouble);
+    world.size = (120, 400.0);
+    world.beat = (5.0, 26.5);
+    world.page = 200;
+    world.replicas = 300;
+    world.pace = (4, 8);
+    world
+}
+
+/// Machines that die are given up, and their replicas serve elsewhere, long
+/// before their leases end (26.5 s): once they kept them away for all of it.
+#[test]
+fn replicas_of_dead_machines_do_not_wait_for_leases() {
+    for seed in 0..4 {
+        let dies = |m: usize| (400, Trouble::MachineDies(m * 7));
+        let mut world = serving_fleet(seed, (0..10).map(dies).collect());
+        world.run(395);
+        let replicas = world.serving();
+        assert!(replicas >= 300, "seed {seed}: {replicas} serve");
+        world.run(405);
+        assert!(world.serving() <= replicas - 30, "seed {seed}: {}", world.serving());
+        world.run(600);
+        assert_eq!(world.broken, Vec::<String>::new(), "seed {seed}");
+        assert_eq!(world.serving(), replicas, "seed {seed}");
+    }
+}
+
+/// Neither a zone that is cut off nor a leader that is cut off from its workers
+/// has machines given up within the seconds that would be enough for dead ones.
+#[test]
+fn cuts_are_not_taken_for_deaths() {
+    for seed in 0..4 {
+        let cuts: Vec<Vec<(u32, Trouble)>> = vec![
+            vec![(400, Trouble::ZoneCut("b", 140))],
+            (0..3).map(|n| (400, Trouble::WorkersCut(n, 110))).collect(),
+            vec![(400, Trouble::WorkersCut(0, 300))],
+        ];
+        for cut in cuts {
+            let mut world = serving_fleet(seed, cut.clone());
+            world.run(398);
+            let (replicas, returned) = (world.serving(), world.returned());
+            world.run(540);
+            assert_eq!(world.broken, Vec::<String>::new(), "seed {seed} {cut:?}");
+            assert_eq!(world.serving(), replicas, "seed {seed} {cut:?}");
+            let more = world.returned() - returned;
+            assert!(more <= 4, "seed {seed} {cut:?}: {more} given up");
+        }
+    }
+}
+
+/// Half as many machines again as the largest fleet has. A quarter of them dies
+/// in one moment, while all controllers crash: the silent ones hold up neither
+/// the orders to the others nor the return to service, direct commands and
+/// changes to the store stay within their bounds, and every replica serves
+/// again.
+#[test]
+fn a_fleet_that_loses_a_quarter_in_a_takeover_serves_again() {
+    let dies = |m: usize| (400, Trouble::MachineDies(m * 4));
+    let mut troubles: Vec<_> = (0..525).map(dies).collect();
+    troubles.push((401, Trouble::CrashAll(5)));
+    let mut world = World::new(11, troubles);
+    world.size = (2_100, 9_000.0);
+    world.beat = (5.0, 26.5);
+    world.page = 200;
+    world.replicas = 300;
+    world.pace = (4, 190);
+    // Jobs that came last are not over yet: that they are is checked when the day ends.
+    world.play(395);
+    assert_eq!(world.broken, Vec::<String>::new());
+    let (up, replicas) = (world.up(), world.serving());
+    assert!(up > 1_500, "{up} machines");
+    assert_eq!(replicas, 24 * 300);
+    world.run(410);
+    assert!(world.serving() < replicas - 1_000, "{} of {replicas}", world.serving());
+    // What it takes to give up the dead, boot others, and place and record more
+    // than a thousand, with one order in 25 lost for up to 12 s.
+    world.run(800);
+    assert_eq!(world.broken, Vec::<String>::new());
+    assert_eq!(world.serving(), replicas);
+    assert!(world.directs <= 40, "{} direct commands at once", world.directs);
+    // The store takes bursts of one second's worth.
+    assert!(world.changes <= 2 * 60, "{} changes in a second", world.changes);
+}
--- a/crates/core/tests/cluster/store_limits.rs
+++ b/crates/core/tests/cluster/store_limits.rs
@@ -2,8 +2,8 @@
 //! transaction, 15 changes a second. What was stored under the wider ones stays readable, and
 //! its next rewrite fits; nothing that was accepted is lost, and work goes on.
 
-use super::*;
-use marblebarrow_rehearsal::world::StoreLimits;
+use crate::at_leader;
+use marblebarrow_rehearsal::world::{StoreLimits, Trouble, World};
 
 /// The step from which on the limits are lower.
 const FALL_AT: u32 = 500;
--- a/crates/core/tests/cluster/upgrade.rs
+++ b/crates/core/tests/cluster/upgrade.rs
@@ -2,8 +2,10 @@
 //! runs the new version, and taken from then on by every process, also by one that begins
 //! while another controller is down.
 
-use super::*;
+use crate::at_leader;
 use marblebarrow_core::consts::DEPENDENCIES_FORMAT;
+use marblebarrow_proto::ids::JobId;
+use marblebarrow_rehearsal::world::{Trouble, World};
 
 /// Controllers in the world.
 const CONTROLLERS: usize = 3;
