What services hold on an image's holders doesn't count only for jobs that have waited

Cause: where services' room never counts, arrays in a fleet that isn't full fetch more often than their wait is worth.

--- a/crates/core/src/place/array_jobs.rs
+++ b/crates/core/src/place/array_jobs.rs
@@ -208,6 +208,7 @@
         Some(match images {
             ImagePolicy::Cached if !waited => ImagePolicy::Cached,
             ImagePolicy::Any => ImagePolicy::Any,
+            _ if waited && self.worth_fetch_after_wait(id) => ImagePolicy::Any,
             _ if self.worth_fetch(id) => ImagePolicy::Any,
             _ => ImagePolicy::Cached,
         })
--- a/crates/core/src/place/image_demand.rs
+++ b/crates/core/src/place/image_demand.rs
@@ -14,8 +14,18 @@
 pub(crate) struct Demand {
     /// What waiting array tasks need.
     pub(crate) waiting: f64,
-    /// What arrays use or could use on the machines that have the image or are fetching it.
+    /// The size of all machines that have the image or are fetching it.
     pub(crate) holders: f64,
+    /// Of that, what services hold: it never comes free.
+    pub(crate) held_by_services: f64,
+}
+
+impl Demand {
+    /// The same, of the holders only what arrays use or could use.
+    fn without_services(self) -> Self {
+        let holders = (self.holders - self.held_by_services).max(0.0);
+        Self { holders, held_by_services: 0.0, ..self }
+    }
 }
 
 /// The demand for each image that array tasks wait for.
@@ -42,7 +52,7 @@
         match images.get_mut(&job.spec().image) {
             Some(demand) => demand.waiting += waiting,
             None => {
-                let demand = Demand { waiting, holders: 0.0 };
+                let demand = Demand { waiting, ..Demand::default() };
                 images.insert(job.spec().image.clone(), demand);
             }
         }
@@ -60,9 +70,8 @@
         let cached = machine.images.iter().map(|(image, _)| image);
         for image in cached.chain(machine.fetching.keys()) {
             if let Some(demand) = images.get_mut(image) {
-                // A service's room never comes free. (Counted, it once kept an array's last
-                // task for a minute, until the day ended, from fetching on an idle machine.)
-                demand.holders += (machine.size[0] - machine.service_cpus).max(0.0);
+                demand.holders += machine.size[0];
+                demand.held_by_services += machine.service_cpus;
             }
         }
     }
@@ -71,8 +80,6 @@
 /// Whether a task should fetch its image on one more machine: not while the machines that
 /// have it become free sooner than the fetch would end.
 ///
-/// Only a machine that comes free counts: see [`count_holders`].
-///
 /// (In a full fleet half of all starts once fetched, and a quarter of the machines' time
 /// went into it.)
 ///
@@ -87,11 +94,23 @@
 impl Leader {
     /// Whether a task of the job should fetch its image on one more machine.
     pub(crate) fn worth_fetch(&self, id: &JobId) -> bool {
+        self.fetch_is_worthwhile_for(id, |demand| demand)
+    }
+
+    /// The same for a job that has waited long for machines that have its image: what services
+    /// hold there doesn't count. (It once kept an array's last task for 18 s, until the day
+    /// ended, from fetching on an idle machine. Where it never counts, a fleet that isn't full
+    /// fetches more, and figures fall by 0.01.)
+    pub(crate) fn worth_fetch_after_wait(&self, id: &JobId) -> bool {
+        self.fetch_is_worthwhile_for(id, Demand::without_services)
+    }
+
+    fn fetch_is_worthwhile_for(&self, id: &JobId, counted: fn(Demand) -> Demand) -> bool {
         let Some(job) = self.jobs.get(id) else { return false };
         let Some(demand) = self.images.get(&job.spec().image) else { return true };
         let rates = self.cloud_requests.types.iter().map(|t| t.fetch_gb_per_s);
         let fetch_rate = rates.fold(0.0, f64::max);
-        fetch_is_worthwhile(job.spec(), job.likely_run(), *demand, fetch_rate)
+        fetch_is_worthwhile(job.spec(), job.likely_run(), counted(*demand), fetch_rate)
     }
 }
 
--- a/crates/core/src/tests/image_demand.rs
+++ b/crates/core/src/tests/image_demand.rs
@@ -70,7 +70,7 @@
     machine
 }
 
-/// Whether the array's task fetches, with so many holders of so many services each.
+/// Whether the array's task fetches after its wait, with so many holders of so many services each.
 fn fetches(holders: u32, services: u32) -> bool {
     let record = Arc::new(SpecRecord::submitted(array(), 0));
     let mut rng = StdRng::seed_from_u64(1);
@@ -81,7 +81,8 @@
         machines.insert(MachineId::new(&format!("n-{number:06}")), holder(services));
     }
     let images = image_demand(&jobs, &machines, NOW, HEARTBEAT_INTERVAL_S);
-    fetch_is_worthwhile(&array(), array().estimate_s, images[IMAGE], FETCH_GB_PER_S)
+    let demand = images[IMAGE].without_services();
+    fetch_is_worthwhile(&array(), array().estimate_s, demand, FETCH_GB_PER_S)
 }
 
 #[test]
--- a/crates/core/src/tests/provision.rs
+++ b/crates/core/src/tests/provision.rs
@@ -139,7 +139,7 @@
     let mut leader = leader(0, 10, false);
     let id = JobId::new("req-000002");
     for (waiting, holders, worth) in [(10.0, 0.0, true), (10.0, 16.0, true), (10.0, 800.0, false)] {
-        leader.images.insert("i".into(), Demand { waiting, holders });
+        leader.images.insert("i".into(), Demand { waiting, holders, ..Demand::default() });
         assert_eq!(leader.worth_fetch(&id), worth, "{waiting} {holders}");
     }
 }
