--- a/crates/core/src/election/mod.rs
+++ b/crates/core/src/election/mod.rs
@@ -116,6 +116,8 @@
     role: Role,
     /// What the step of the election that is under way asks of the store.
     step: StepRequest,
+    /// The removal of our key after a leadership that we gave up.
+    removal: StepRequest,
     candidacy: Candidacy,
     lease: LeaseRenewal,
     pledges: Pledges,
@@ -133,6 +135,7 @@
             peers,
             role: Role::Follower,
             step: StepRequest::default(),
+            removal: StepRequest::default(),
             lease: LeaseRenewal::default(),
             pledges: Pledges::default(),
             revoked: None,
@@ -179,6 +182,7 @@
 
     /// Steps with time.
     pub fn tick(&mut self, now: Secs, replica: &Replica, out: &mut ActionSink) -> LeadershipChange {
+        self.removal.resend_if_due(now, out);
         match &self.role {
             Role::Follower => self.follow(now, replica, out),
             Role::LeaseRequested { since } | Role::Reading { since, .. } => {
@@ -236,7 +240,9 @@
         out: &mut ActionSink,
     ) -> LeadershipChange {
         if let Some(held) = self.leadership() {
-            out.store(StoreRequest::RevokeLease(held.lease));
+            let removal = StoreRequest::RevokeLease(held.lease);
+            // Lost, it would leave workers without a leader until the lease ends.
+            self.removal.send(now, removal, out);
         }
         let change = self.lose(now, reason);
         let pause = match reason {
@@ -263,6 +269,9 @@
         result: &StoreResult,
         out: &mut ActionSink,
     ) -> Option<LeadershipChange> {
+        if self.removal.answered(op) {
+            return Some(LeadershipChange::None);
+        }
         if let Some(sent) = self.lease.answered(op) {
             return Some(self.renewal_answered(now, sent, result));
         }
--- a/crates/core/src/election/step_request.rs
+++ b/crates/core/src/election/step_request.rs
@@ -1,7 +1,8 @@
-//! The request of an election's step, which is sent once more if no answer comes soon.
+//! A request of an election, which is sent once more if no answer comes soon.
 //!
 //! Each may be carried out twice without harm: a lease that nobody uses ends by itself, a read
-//! changes nothing, and of two equal transactions that take the leader key one fails.
+//! changes nothing, of two equal transactions that take the leader key one fails, and a lease
+//! that was ended is ended.
 
 use crate::consts::ELECTION_RESEND_S;
 use crate::event::{ActionSink, OpId, Secs, StoreRequest};
@@ -27,7 +28,8 @@
         *self = Self::default();
     }
 
-    /// Sends a copy, once, if no answer has come for a while.
+    /// Sends a copy, once, if no answer has come for a while. An answer that says that the request
+    /// may not have been carried out counts as one: the caller decides what follows.
     pub(super) fn resend_if_due(&mut self, now: Secs, out: &mut ActionSink) {
         let due = !self.resent && !self.unanswered.is_empty();
         if !due || now - self.sent < ELECTION_RESEND_S {
