Heartbeats wait for an election only where leases are short

No rule broken. The cause is not traced; that heartbeats which wait hold the sockets (2,169 for 4,002 machines) is suspected.

Change: they wait only where leases are too short for two silent controllers, as transfers are made.

--- a/crates/core/src/election/placement.rs
+++ b/crates/core/src/election/placement.rs
@@ -35,6 +35,12 @@
         silent_controllers as f64 * WORKER_GIVES_UP_S <= self.search_most_s
     }
 
+    /// Whether leases are too short for two silent controllers in a row, so that no worker may
+    /// be sent on needlessly.
+    pub fn has_short_leases(&self) -> bool {
+        2.0 * WORKER_GIVES_UP_S > self.search_most_s
+    }
+
     /// How many silent controllers in a row workers try after that one.
     fn silent_after(&self, leader: &NodeId, silent: &BTreeSet<NodeId>) -> usize {
         let at = self.ring.iter().position(|node| node == leader).unwrap_or(0);
--- a/crates/core/src/node/worker_heartbeats.rs
+++ b/crates/core/src/node/worker_heartbeats.rs
@@ -38,9 +38,11 @@
 
     /// Whether nobody is known to lead, and this controller will learn of a leader as soon as
     /// there is one: the store served it lately, and its watch goes on. In an outage nobody can
-    /// be elected.
+    /// be elected. Only where leases are short: with longer ones workers have the time to come
+    /// round, and those of a large fleet would hold most of the sockets meanwhile.
     fn leader_soon_known(&self, now: Secs) -> bool {
-        self.other_leader(now).is_none()
+        self.placement.has_short_leases()
+            && self.other_leader(now).is_none()
             && self.replica.synced
             && now - self.store_ok_at < LEADER_LEASE_S
             && now - self.replica.current_at < self.facts.replica_age_to_resign()
--- a/crates/core/src/tests/placement.rs
+++ b/crates/core/src/tests/placement.rs
@@ -26,6 +26,12 @@
     assert!(short.is_safe(&node(0), &nodes(&[])));
 }
 
+#[test]
+fn leases_are_short_or_not() {
+    assert!(placement(3, 2.0, 12.0).has_short_leases());
+    assert!(!placement(3, 4.0, 22.0).has_short_leases());
+}
+
 #[test]
 fn longer_leases_survive_them() {
     for (interval_s, lease_s) in [(4.0, 22.0), (5.0, 26.5), (6.0, 31.0)] {
