--- a/crates/core/tests/stuck_watch.rs
+++ b/crates/core/tests/stuck_watch.rs
@@ -6,18 +6,20 @@
 //! proven by the cascade generation that its copy shows, and only the watch brought a newer
 //! one. What showed it: the first test below, where every answer in 90 s was `Unavailable`.
 
+mod support;
+
 use marblebarrow_core::event::*;
-use marblebarrow_core::facts::{Facts, Tuning};
+use marblebarrow_core::facts::Facts;
 use marblebarrow_core::replica::Replica;
 use marblebarrow_core::user_api::{RequestContext, UserApi};
 use marblebarrow_proto::cbor::to_value;
-use marblebarrow_proto::ids::{JobId, NodeId};
 use marblebarrow_proto::job::{JobSpec, Kind, Priority};
 use marblebarrow_proto::records::{
     CASCADE_GENERATION, CascadeRecord, EndRecord, SpecRecord, cascade_key, end_key, spec_key,
 };
 use marblebarrow_proto::wire::{Item, ItemPage, Stage};
 use std::collections::BTreeMap;
+use support::{facts, job, spec};
 
 /// Users wait so long for the answer to a poll (protocol page), seconds.
 const USER_WAITS_S: f64 = 2.0;
@@ -42,59 +44,8 @@
     between_pages: Option<fn(&mut BTreeMap<String, Item>)>,
 }
 
-fn facts() -> Facts {
-    Facts {
-        node: NodeId::new("c0"),
-        others: vec![NodeId::new("c1"), NodeId::new("c2")],
-        teams: Vec::new(),
-        deadlines: Vec::new(),
-        finishes: Vec::new(),
-        starts: Vec::new(),
-        heartbeat_interval_s: 2.0,
-        lease_s: 12.0,
-        cancel_s: 32.0,
-        core_share: 1.0,
-        log: false,
-        store_rps: 100.0,
-        store_write_rps: 20.0,
-        store_txn_ops: 16,
-        store_value_bytes: 16 * 1024,
-        cloud_rps: 5.0,
-        list_lag_s: 5.0,
-        direct_most: 40,
-        tuning: Tuning::default(),
-        cells: None,
-    }
-}
-
-fn id(number: u32) -> JobId {
-    JobId::new(&format!("req-{number:06}"))
-}
-
-fn spec(number: u32) -> JobSpec {
-    JobSpec {
-        id: id(number),
-        class: "a".into(),
-        team: "t".into(),
-        kind: Kind::Array,
-        priority: Priority::Normal,
-        tasks: 1,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 1.0,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        estimate_s: 1.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-        dependencies: Vec::new(),
-    }
+fn array(number: u32) -> JobSpec {
+    spec(number, Kind::Array, Priority::Normal)
 }
 
 fn put(kv: &mut BTreeMap<String, Item>, key: String, value: ciborium::Value, version: u64) {
@@ -103,7 +54,7 @@
 
 /// A cascade cancels these jobs.
 fn cancel(kv: &mut BTreeMap<String, Item>, list: u32, jobs: &[u32], version: u64) {
-    let record = CascadeRecord { jobs: jobs.iter().copied().map(id).collect() };
+    let record = CascadeRecord { jobs: jobs.iter().copied().map(job).collect() };
     put(kv, cascade_key(3, list), to_value(&record), version);
     put(kv, CASCADE_GENERATION.into(), to_value(&true), version);
 }
@@ -114,8 +65,8 @@
     fn stuck() -> Self {
         let mut kv = BTreeMap::new();
         for number in 1..=9 {
-            let record = to_value(&SpecRecord::submitted(spec(number), 0));
-            put(&mut kv, spec_key(&id(number)), record, u64::from(number));
+            let record = to_value(&SpecRecord::submitted(array(number), 0));
+            put(&mut kv, spec_key(&job(number)), record, u64::from(number));
         }
         let mut replica = Replica::default();
         let content = WatchContent::Reset(kv.values().cloned().collect());
@@ -165,7 +116,7 @@
     }
 
     fn poll(&mut self, number: u32) -> Option<Stage> {
-        match self.ask(UserRequest::Poll(id(number))) {
+        match self.ask(UserRequest::Poll(job(number))) {
             Some(Answer::Job(200, status)) => Some(status.stage),
             _ => None,
         }
@@ -275,8 +226,8 @@
         // Its jobs got their final states, and the list is removed.
         for number in [5, 6] {
             let end = to_value(&EndRecord { cancelled: true, tasks: 1 });
-            put(kv, end_key(&id(number)), end, 14);
-            kv.remove(&spec_key(&id(number)));
+            put(kv, end_key(&job(number)), end, 14);
+            kv.remove(&spec_key(&job(number)));
         }
         kv.remove(&cascade_key(3, 2));
     });
--- a/crates/core/tests/uncertain_records.rs
+++ b/crates/core/tests/uncertain_records.rs
@@ -8,17 +8,20 @@
 //! `event=records_uncertain records=16` and `event=records_known`, which in that run filled
 //! 17 of the last 20 s (60.7 to 64.1, 65.7 to 67.0, 68.3 to 73.2, 73.3 to 76.8, from 76.9 on).
 
+mod support;
+
 use marblebarrow_core::event::*;
-use marblebarrow_core::facts::{Facts, Team, Tuning};
+use marblebarrow_core::facts::Facts;
 use marblebarrow_core::node::Node;
 use marblebarrow_proto::cbor::to_value;
-use marblebarrow_proto::ids::{JobId, MachineId, NodeId, TaskId};
+use marblebarrow_proto::ids::{MachineId, NodeId, TaskId};
 use marblebarrow_proto::job::{JobSpec, Kind, Priority};
 use marblebarrow_proto::records::{PROGRESS, SpecRecord, WATCHED, progress_key, spec_key};
 use marblebarrow_proto::wire::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, BTreeSet};
+use support::{job, spec};
 
 const STEP_S: f64 = 0.1;
 const HEARTBEAT_INTERVAL_S: f64 = 1.0;
@@ -70,26 +73,14 @@
 
 fn facts() -> Facts {
     Facts {
-        node: NodeId::new("c0"),
-        others: vec![NodeId::new("c1"), NodeId::new("c2")],
-        teams: vec![Team { name: "t".into(), cpus: 99.0, cpus_max: 0.0, gpus: 0.0, gpus_max: 0.0 }],
-        deadlines: Vec::new(),
-        finishes: Vec::new(),
-        starts: Vec::new(),
         heartbeat_interval_s: HEARTBEAT_INTERVAL_S,
         lease_s: 26.0,
         cancel_s: 47.0,
-        core_share: 1.0,
-        log: false,
         store_rps: 200.0,
         store_write_rps: 60.0,
         store_txn_ops: 24,
-        store_value_bytes: 16 * 1024,
-        cloud_rps: 5.0,
         list_lag_s: 2.0,
-        direct_most: 40,
-        tuning: Tuning::default(),
-        cells: None,
+        ..support::facts()
     }
 }
 
@@ -108,34 +99,8 @@
     }
 }
 
-fn job(number: u32) -> JobId {
-    JobId::new(&format!("req-{number:06}"))
-}
-
 fn service(number: u32) -> JobSpec {
-    JobSpec {
-        id: job(number),
-        class: "a".into(),
-        team: "t".into(),
-        kind: Kind::Service,
-        priority: Priority::Production,
-        tasks: 1,
-        cpus: 1.0,
-        gpus: 0.0,
-        memory_gb: 1.0,
-        image: "i".into(),
-        image_gb: 0.1,
-        types: None,
-        zone: None,
-        one_zone: false,
-        spread: false,
-        spot: true,
-        estimate_s: 0.0,
-        checkpoint_s: 0.0,
-        save_s: 0.0,
-        deadline_s: None,
-        dependencies: Vec::new(),
-    }
+    JobSpec { estimate_s: 0.0, ..spec(number, Kind::Service, Priority::Production) }
 }
 
 impl Scene {
