--- a/tests/stand_in/cluster.rs
+++ b/tests/stand_in/cluster.rs
@@ -8,11 +8,11 @@
 use super::worker::{Fleet, HeldCommand};
 use marblebarrow_proto::cbor;
 use marblebarrow_proto::ids::{JobId, TaskId};
-use marblebarrow_proto::records::{LEADER, LeaderRecord};
+use marblebarrow_proto::records::{LEADER, LeaderRecord, SPECS};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Stdio};
+use std::process::Child;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread;
@@ -21,6 +21,11 @@
 /// Longest that any one thing may take before a test gives up.
 const PATIENCE: Duration = Duration::from_secs(60);
 
+/// Open jobs of which a failing test shows what was logged.
+const OPEN_JOBS_SHOWN: usize = 5;
+/// Lines shown of each of them, the last ones of each controller.
+const LINES_SHOWN: usize = 20;
+
 /// Ports between the beginnings of two processes: more than a test file takes.
 const PORTS_APART: u32 = 211;
 
@@ -319,12 +324,34 @@
         self.store.0.lock().expect("store").changes()
     }
 
+    /// Names the folder with the controllers' logs, which are kept, and shows what they say last
+    /// of the jobs that are open.
+    fn show_logs(&self) {
+        eprintln!("logs of the controllers: {}", self.dir.display());
+        let specs = self.store.0.lock().map(|store| store.keys_now(SPECS)).unwrap_or_default();
+        let open = specs.iter().filter_map(|key| key.strip_prefix(SPECS));
+        for job in open.take(OPEN_JOBS_SHOWN) {
+            let logs = (0..self.nodes.len()).map(|i| log_file(&self.dir, i));
+            for log in logs {
+                let text = std::fs::read_to_string(&log).unwrap_or_default();
+                let lines: Vec<&str> = text.lines().filter(|line| line.contains(job)).collect();
+                let last = lines.len().saturating_sub(LINES_SHOWN);
+                lines[last..].iter().for_each(|line| eprintln!("{}: {line}", log.display()));
+            }
+        }
+    }
+
     /// Rules that were broken.
     pub fn broken(&self) -> Vec<String> {
         self.fleet.broken()
     }
 }
 
+/// What controller `i` logs.
+fn log_file(dir: &Path, i: usize) -> PathBuf {
+    dir.join(format!("c{i}.log"))
+}
+
 /// Starts controller `i` from its files in `dir`.
 fn launch(dir: &Path, i: usize, program: &Path) -> Child {
     let mut command = std::process::Command::new(program);
@@ -332,8 +359,11 @@
     let cells = dir.join(format!("c{i}.hcl"));
     if cells.exists() {
         command.arg("--cells").arg(cells);
+        // What became of a job that moves is told at this level alone.
+        command.env("LOG_LEVEL", "debug");
     }
-    command.stderr(Stdio::null()).spawn().expect("start")
+    let log = std::fs::OpenOptions::new().create(true).append(true).open(log_file(dir, i));
+    command.stderr(log.expect("log")).spawn().expect("start")
 }
 
 impl Drop for Cluster {
@@ -344,6 +374,9 @@
         }
         // Workers that went on asking would report to whoever is given these ports next.
         self.fleet.end_all();
+        if thread::panicking() {
+            return self.show_logs();
+        }
         let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
--- a/tests/stand_in/store.rs
+++ b/tests/stand_in/store.rs
@@ -45,6 +45,11 @@
         self.history.iter().filter(|(_, put, value)| put == key && value.is_some()).count()
     }
 
+    /// Keys that there are under a prefix.
+    pub fn keys_now(&self, prefix: &str) -> Vec<String> {
+        self.kv.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
     /// How many keys there are under a prefix.
     pub fn keys_under(&self, prefix: &str) -> usize {
         self.kv.keys().filter(|key| key.starts_with(prefix)).count()
