Cells: a waiting job that isn't offered says why

A job that waited at a full cell could not be told from one that rests, is at its team's limit or finds no cell: nothing was logged of jobs that aren't offered.

--- a/crates/cells/src/message.rs
+++ b/crates/cells/src/message.rs
@@ -6,9 +6,11 @@
 pub use crate::error::CellError;
 
 use crate::capacity::CapacityReport;
+use crate::stay::StayReason;
 use marblebarrow_proto::ids::{CellName, JobId};
 use marblebarrow_proto::job::JobSpec;
 use marblebarrow_proto::transfer::{RefusalReason, TransferId};
+use std::collections::BTreeMap;
 
 /// Most tracked jobs, and most finished ones, in one exchange: the rest comes with the next.
 pub const EXCHANGE_JOBS_MAX: usize = 256;
@@ -195,6 +197,8 @@
     pub guests: u32,
     /// Counts since this leader began.
     pub counts: Counts,
+    /// How many waiting jobs of this cell each reason keeps here, as of the last look.
+    pub staying: BTreeMap<StayReason, u32>,
 }
 
 /// Counts since a leader began.
--- a/crates/cells/src/rpc/operator.rs
+++ b/crates/cells/src/rpc/operator.rs
@@ -23,6 +23,10 @@
             age_s: transfer.age_s,
             cancel_wanted: transfer.cancel_wanted,
         });
+        let staying = overview
+            .staying
+            .iter()
+            .map(|(reason, jobs)| wire::StayingJobs { reason: reason.to_string(), jobs: *jobs });
         Self {
             cell: overview.cell.to_string(),
             term: overview.term,
@@ -33,6 +37,7 @@
             refusals_received: overview.counts.refusals_received,
             refusals_given: overview.counts.refusals_given,
             bad_requests: overview.counts.bad_requests,
+            staying: staying.collect(),
         }
     }
 }
--- a/crates/core/src/cells/home.rs
+++ b/crates/core/src/cells/home.rs
@@ -1,21 +1,22 @@
 //! Jobs of this cell that move to others.
 
+use super::staying::waits_at_home;
 use super::{Call, Pending, Retry, cond, put};
 use crate::consts::STORE_RETRY_S;
 use crate::event::{Action, ActionSink, Secs, StoreRequest, StoreResult, TaskCounts};
-use crate::jobs::Job;
 use crate::leader::Leader;
-use crate::place::exceeds_limit;
 use crate::replica::Replica;
 use marblebarrow_cells::choice::Choice;
 use marblebarrow_cells::message::{CellRequest, Exchange, Offer, Sender};
 use marblebarrow_cells::outbound::{DueOffer, finished_for};
+use marblebarrow_cells::stay::StayReason;
 use marblebarrow_proto::cbor::from_value;
 use marblebarrow_proto::ids::{CellName, JobId};
 use marblebarrow_proto::job::JobSpec;
 use marblebarrow_proto::records::{EndRecord, SpecRecord, end_key, progress_key, spec_key};
 use marblebarrow_proto::transfer::ForwardRecord;
 use marblebarrow_proto::wire::Txn;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 /// Seconds between two looks for jobs that may move: they wait for many more already.
@@ -53,7 +54,7 @@
     }
 
     /// Records the intent to transfer jobs that have waited long enough and that renting
-    /// can't help.
+    /// can't help; of the others it is noted why they stay.
     pub(super) fn offer_waiting_jobs(
         &mut self,
         now: Secs,
@@ -61,73 +62,55 @@
         out: &mut ActionSink,
     ) {
         let Some(cells) = &mut self.cells else { return };
-        if now < cells.next_look || self.recovering {
+        if now < cells.next_look {
             return;
         }
         cells.next_look = now + LOOK_EVERY_S;
         let intents = |p: &&Pending| matches!(p, Pending::Intent { .. });
         let under_way = cells.outbound.in_doubt() + cells.pending.values().filter(intents).count();
         let most = cells.settings.transfers_max.saturating_sub(under_way);
-        let mut waiting: Vec<(Secs, JobId)> = self
-            .jobs
-            .iter()
-            .filter(|(_, job)| self.may_move(now, job))
-            .map(|(id, job)| (job.arrived, id.clone()))
-            .collect();
-        waiting.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
-        for (_, id) in waiting.into_iter().take(most) {
-            if !self.begin_transfer(now, &id, replica, out) {
-                break;
+        let (mut movable, mut staying) = (Vec::new(), BTreeMap::new());
+        for (id, job) in self.jobs.iter().filter(|(_, job)| waits_at_home(job)) {
+            match self.stay_reason(now, job) {
+                Some(reason) => {
+                    staying.insert(id.clone(), reason);
+                }
+                None => movable.push((job.arrived, id.clone())),
             }
         }
+        movable.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
+        let mut left = most;
+        for (_, id) in movable {
+            let begun = match left {
+                0 => Err(StayReason::TransfersAtLimit),
+                _ => self.begin_transfer(now, &id, replica, out),
+            };
+            left = left.saturating_sub(1);
+            if let Err(reason) = begun {
+                staying.insert(id, reason);
+            }
+        }
+        self.note_staying(now, staying);
     }
 
-    /// Whether a job may move, and is no better off here.
-    fn may_move(&self, now: Secs, job: &Job) -> bool {
-        let Some(cells) = &self.cells else { return false };
-        let never_started = job.started.is_empty()
-            && job.live.is_empty()
-            && job.maybe_running.is_empty()
-            && job.parts.iter().all(|version| *version == 0);
-        never_started
-            && !job.away
-            && !job.cancelled
-            && !job.closing
-            // Another cell knows nothing of the jobs that it names, and would not wait.
-            && job.spec().dependencies.is_empty()
-            && job.record.origin.is_none()
-            && now >= job.rests_until
-            && now - job.arrived > cells.settings.patience_s
-            && self.team_has_room(job.spec())
-            && !self.renting_helps(now, job.spec())
-    }
-
-    /// Whether the team's limit here allows a task more: what waits for that isn't short of
-    /// machines, and must not evade it elsewhere.
-    pub(super) fn team_has_room(&self, spec: &JobSpec) -> bool {
-        let Some(team) = self.team(&spec.team) else {
-            return false;
-        };
-        let used = self.team_usage().get(&spec.team).copied().unwrap_or_default();
-        !exceeds_limit(used[0], spec.cpus, team.cpus_max)
-            && !exceeds_limit(used[1], spec.gpus, team.gpus_max)
-    }
-
-    /// Chooses a cell and records the intent; false: no cell or no change can be had now.
+    /// Chooses a cell and records the intent; else the reason why not.
     fn begin_transfer(
         &mut self,
         now: Secs,
         id: &JobId,
         replica: &Replica,
         out: &mut ActionSink,
-    ) -> bool {
-        let Some(record) = self.jobs.get(id).map(|job| job.record.clone()) else { return true };
-        let Some(target) = self.choose_cell(now, &record.spec, replica) else { return true };
+    ) -> Result<(), StayReason> {
+        let record = self.jobs.get(id).map(|job| job.record.clone());
+        let target = record.as_ref().and_then(|r| self.choose_cell(now, &r.spec, replica));
+        let (Some(record), Some(target)) = (record, target) else {
+            return Err(StayReason::NoCellWithRoom);
+        };
         if !self.writer.afford(INTENT_CHANGES) {
-            return false;
+            return Err(StayReason::StoreRate);
         }
         let (Some(cells), Some(job)) = (&mut self.cells, self.jobs.get_mut(id)) else {
-            return false;
+            return Err(StayReason::NoCellWithRoom);
         };
         let transfer = cells.outbound.new_transfer(&cells.settings.name, self.term.0);
         self.log.push(|| format!("event=transfer job={id} target={target} transfer={transfer}"));
@@ -143,7 +126,7 @@
         let txn = Txn { conds, writes: vec![put(spec_key(id), &intended)] };
         let (job, record) = (id.clone(), Box::new(intended));
         self.commit_for_cells(txn, |txn| Pending::Intent { job, txn, record }, out);
-        true
+        Ok(())
     }
 
     fn choose_cell(&mut self, now: Secs, spec: &JobSpec, replica: &Replica) -> Option<CellName> {
--- a/crates/core/src/cells/mod.rs
+++ b/crates/core/src/cells/mod.rs
@@ -1,5 +1,5 @@
 //! Transfers to and from other cells, as the leader carries them out: `home` offers jobs of
-//! this cell, `settle` makes the answers durable, `target` is for jobs of others, `room` for
+//! this cell, `staying` tells why others stay, `settle` makes the answers durable, `target` is for jobs of others, `room` for
 //! what this cell can offer.
 //!
 //! A transfer's truth is in the state service. What is under way here may be lost with the
@@ -8,6 +8,7 @@
 mod home;
 mod room;
 mod settle;
+mod staying;
 mod target;
 
 use crate::event::{ActionSink, OpId, ReplyTo, Secs, StoreRequest, StoreResult};
@@ -25,6 +26,7 @@
 use marblebarrow_proto::records::{self, SpecRecord};
 use marblebarrow_proto::transfer::{RefusalReason, TransferId};
 use marblebarrow_proto::wire::{Cond, Txn, Write};
+use staying::StayingJobs;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -98,6 +100,8 @@
     retries: Vec<(Secs, Retry)>,
     /// When jobs are next looked over for those that may move.
     next_look: Secs,
+    /// Why each job that waits stays, as of the last look.
+    staying: StayingJobs,
 }
 
 impl Cells {
@@ -119,6 +123,7 @@
             report: None,
             retries: Vec::new(),
             next_look: now,
+            staying: StayingJobs::default(),
         }
     }
 }
@@ -229,6 +234,7 @@
             transfers: transfers.collect(),
             guests: replica.inbound.len() as u32,
             counts: cells.counts,
+            staying: cells.staying.counts(),
         })))
     }
 }
--- a/src/cells_cli.rs
+++ b/src/cells_cli.rs
@@ -83,6 +83,7 @@
         overview.bad_requests
     )];
     lines.extend(overview.cells.iter().map(cell_line));
+    lines.extend(overview.staying.iter().map(staying_line));
     lines.extend(overview.transfers.iter().map(transfer_line));
     lines
 }
@@ -99,6 +100,10 @@
     )
 }
 
+fn staying_line(staying: &StayingJobs) -> String {
+    format!("staying={} jobs={}", staying.reason, staying.jobs)
+}
+
 fn transfer_line(transfer: &TransferOverview) -> String {
     format!(
         "job={} target={} state={} age_s={:.1}{}",
