Cells: machines that nobody asks for keep no job at home for ever

Callers saw: a job that may use spot machines waits at a full home and is never offered, though others have room.

Cause: renting counted as a help while the cloud had refused no such machine lately. A refusal is forgotten after some seconds; a home whose team limit is reserved by a service that is not whole never asks for spot machines again, so every look found one that "can be rented" (the 8 rentable machines in the home's report).

Evidence: `event=stays why=renting_may_help` to the end of simulated runs in which the home asked for ordinary machines alone.

Renting is believed to help for a minute beyond the job's patience, booting machines too: they may all go to others.

Worlds can be filled by a service, keep arrays from spot machines, and have a cloud that fills a request in part, as the protocol has it.

--- a/crates/core/src/cells/room.rs
+++ b/crates/core/src/cells/room.rs
@@ -2,9 +2,9 @@
 
 use crate::cells::Cells;
 use crate::event::Secs;
+use crate::jobs::Job;
 use crate::leader::Leader;
 use marblebarrow_cells::capacity::{Amounts, CapacityReport, REPORT_ITEMS_MAX, Room};
-use marblebarrow_proto::job::JobSpec;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A report is made anew after this, seconds: it looks at all machines and jobs.
@@ -12,13 +12,21 @@
 /// Machines of a type and zone that count as rentable while none was refused lately: what
 /// the cloud has shows only when it is asked.
 const RENTABLE: u32 = 8;
+/// Seconds beyond its patience for which a job waits for machines that boot or may be rented:
+/// several requests to the cloud, a boot and a fetch.
+const RENTING_HELPS_WITHIN_S: f64 = 60.0;
 /// Work of the cell's own that waits for longer than this, seconds, is a backlog: a place
 /// is found within half a second where there is room.
 const BACKLOG_AGE_S: f64 = 2.0;
 
 impl Leader {
-    /// Whether machines that the job may use come up, or can probably be rented.
-    pub(super) fn renting_helps(&self, now: Secs, spec: &JobSpec) -> bool {
+    /// Whether machines that the job may use come up, or can probably be rented. Not for ever:
+    /// the cell may never ask for them, or may need them all for others.
+    pub(super) fn renting_helps(&self, now: Secs, job: &Job, patience_s: Secs) -> bool {
+        if now - job.arrived > patience_s + RENTING_HELPS_WITHIN_S {
+            return false;
+        }
+        let spec = job.spec();
         let cloud = &self.cloud_requests;
         let allowed = |kind: &str, zone: &str, spot: bool| {
             (spec.spot || !spot)
--- a/crates/core/src/cells/staying.rs
+++ b/crates/core/src/cells/staying.rs
@@ -49,7 +49,7 @@
             Some(StayReason::Resting)
         } else if !self.team_has_room(job.spec()) {
             Some(StayReason::TeamLimit)
-        } else if self.renting_helps(now, job.spec()) {
+        } else if self.renting_helps(now, job, cells.settings.patience_s) {
             Some(StayReason::RentingMayHelp)
         } else {
             None
--- a/crates/rehearsal/src/fleet_of_cells/plan.rs
+++ b/crates/rehearsal/src/fleet_of_cells/plan.rs
@@ -11,6 +11,8 @@
 const JOB_NUMBERS_PER_CELL: u32 = 100_000;
 /// CPUs that the team of each cell may use, so many that its quota limits nothing.
 const TEAM_CPUS_MAX: f64 = 200.0;
+/// Tasks of one CPU that a machine has room for.
+const TASKS_PER_MACHINE: u32 = 4;
 /// Steps for which the last job of a run may be open after all faults.
 const SETTLING_STEPS: u32 = 1_200;
 
@@ -42,6 +44,8 @@
     pub policy: Option<String>,
     /// Whether jobs may move at all.
     pub moving: bool,
+    /// Whether a service fills the first cell, whose other jobs are arrays of one task.
+    pub filled: bool,
     /// Whether every fourth job is cancelled a second after it was accepted.
     pub cancels: bool,
     /// The faults, and the step at which each begins.
@@ -49,6 +53,9 @@
 }
 
 impl Plan {
+    /// Transfers that a cell may have in doubt.
+    pub const TRANSFERS_MAX: usize = 16;
+
     /// Three cells, of which the first has far too few machines.
     pub fn one_full(seed: u64) -> Self {
         Self {
@@ -59,6 +66,7 @@
             patience_s: 4.0,
             policy: None,
             moving: true,
+            filled: false,
             cancels: false,
             troubles: Vec::new(),
         }
@@ -80,6 +88,10 @@
         world.pace = (pace.max(1), if pace == 0 { 0 } else { self.until });
         world.cells = self.moving.then(|| Arc::new(self.settings(cell)));
         world.quarter = self.cancels;
+        world.rents_in_part = self.filled;
+        world.spot_arrays = !self.filled;
+        world.filled_by =
+            (self.filled && cell == 0).then(|| self.machines[0] as u32 * TASKS_PER_MACHINE);
         world.calm_after(calm_from);
         world
     }
@@ -105,7 +117,7 @@
             patience_s: self.patience_s,
             reserve_cpus: 0.0,
             report_age_s: 5.0,
-            transfers_max: 16,
+            transfers_max: Self::TRANSFERS_MAX,
             message_bytes: 64 * 1024,
             policy: self.policy.clone(),
         }
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -44,4 +44,5 @@
 pub mod fleet_of_cells;
 pub mod held_commands;
 pub mod scenario;
+pub mod sweep;
 pub mod world;
--- a/crates/rehearsal/src/world/cloud.rs
+++ b/crates/rehearsal/src/world/cloud.rs
@@ -49,16 +49,29 @@
         if let Some(names) = self.rents.get(&rent.request) {
             return CloudResult::Rented(names.clone());
         }
-        if self.machines.len() + rent.count as usize > self.size.0 {
+        let count = self.machines_granted(rent.count);
+        if count == 0 {
             return CloudResult::NoCapacity;
         }
-        self.ordinary += if rent.spot { 0 } else { rent.count };
-        self.rented += rent.count;
-        let names: Vec<MachineId> = (0..rent.count).map(|_| self.boot_machine(rent)).collect();
+        self.ordinary += if rent.spot { 0 } else { count };
+        self.rented += count;
+        let names: Vec<MachineId> = (0..count).map(|_| self.boot_machine(rent)).collect();
         self.rents.insert(rent.request.clone(), names.clone());
         CloudResult::Rented(names)
     }
 
+    /// How many of the machines asked for there are.
+    fn machines_granted(&self, asked: u32) -> u32 {
+        let left = self.size.0.saturating_sub(self.machines.len()) as u32;
+        if asked <= left {
+            asked
+        } else if self.rents_in_part {
+            left
+        } else {
+            0
+        }
+    }
+
     /// Adds a machine that boots; its name.
     fn boot_machine(&mut self, rent: &Rent) -> MachineId {
         let tenths = if self.step < self.boots.1 { self.boots.0 } else { USUAL_BOOT_TENTHS };
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -192,6 +192,13 @@
     pub rented: u32,
     /// No services at all.
     pub no_services: bool,
+    /// The cloud fills a request for more machines than it has in part, instead of refusing it.
+    pub rents_in_part: bool,
+    /// The first job is a service of so many tasks that its users keep; all others are arrays
+    /// of one task.
+    pub filled_by: Option<u32>,
+    /// Arrays may use spot machines.
+    pub spot_arrays: bool,
     /// Agent epochs that ended as their lease ran out.
     pub lapses: u32,
     /// The job of this number is idle work, of so many tasks that run a minute each.
--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -4,6 +4,19 @@
 
 impl World {
     pub(super) fn spec(&mut self, n: u32) -> JobSpec {
+        let mut spec = self.usual_spec(n);
+        if let Some(replicas) = self.filled_by {
+            let fills = n == 0;
+            spec.kind = if fills { Kind::Service } else { Kind::Array };
+            spec.tasks = if fills { replicas } else { 1 };
+            spec.class = if fills { "s" } else { "a" }.into();
+            (spec.priority, spec.deadline_s) = (Priority::Normal, None);
+            spec.spot = !fills && self.spot_arrays;
+        }
+        spec
+    }
+
+    fn usual_spec(&mut self, n: u32) -> JobSpec {
         // Many replicas: every other job is a service, and none is cancelled.
         let turn = if self.replicas > 1 { n % 2 == 1 } else { n % 4 == 3 };
         let service = turn && self.wide.is_none() && !self.no_services;
@@ -23,7 +36,7 @@
             zone: (self.zoned && n.is_multiple_of(3)).then(|| "ab"[(n % 2) as usize..][..1].into()),
             one_zone: false,
             spread: false,
-            spot: !service,
+            spot: !service && self.spot_arrays,
             estimate_s: 3.0,
             checkpoint_s: 0.0,
             save_s: 0.0,
@@ -118,6 +131,7 @@
                         || number.is_multiple_of(5)
                         || self.mistaken(&id))
                     && self.replicas == 1
+                    && self.filled_by.is_none()
                     && self.step > number * 25 + 250
                     && self.accepted.contains(&id);
             let (what, req) = if !self.accepted.contains(&id) {
