Cells: neither a silent cell nor jobs that no cell takes hold up other transfers

Callers saw: no job leaves a full home while another cell has room.

Causes, two of one look over the waiting jobs: - Offers without an answer are bounded in all (transfers_max). For up to report_age_s after a cell falls silent its last report still tells of room, so its doubts grow until they are the whole bound, and hold it until the cell answers. Each other cell has an equal share now. - Only the oldest waiting jobs were tried, as many as the bound left. Old jobs that no cell has room for took these turns at every look. All are tried now, of jobs with equal requests one.

The comments on rests after refusals no longer tell their history: after six refusals a job was never offered again; one in some hundreds got so many as cells fill while jobs land.

--- a/crates/cells/src/capacity.rs
+++ b/crates/cells/src/capacity.rs
@@ -46,6 +46,32 @@
     }
 }
 
+/// What a job asks of a cell: jobs with equal requests find room in the same cells.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RoomRequest {
+    team: String,
+    zone: Option<String>,
+    types: Option<Vec<String>>,
+    spot: bool,
+    tasks_at_once: u32,
+    /// CPUs, GPUs and memory of a task, as bits.
+    task: [u64; 3],
+}
+
+impl RoomRequest {
+    /// The request of a job.
+    pub fn of(spec: &JobSpec) -> Self {
+        Self {
+            team: spec.team.clone(),
+            zone: spec.zone.clone(),
+            types: spec.types.clone(),
+            spot: spec.spot,
+            tasks_at_once: tasks_at_once(spec),
+            task: [spec.cpus, spec.gpus, spec.memory_gb].map(f64::to_bits),
+        }
+    }
+}
+
 /// Free capacity on one kind of machine in one zone.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Room {
--- a/crates/cells/src/outbound/mod.rs
+++ b/crates/cells/src/outbound/mod.rs
@@ -101,6 +101,12 @@
         self.open.values().filter(|open| !open.record.accepted).count()
     }
 
+    /// Transfers that a cell hasn't spoken on yet.
+    pub fn in_doubt_with(&self, cell: &CellName) -> usize {
+        let open = self.open.values();
+        open.filter(|open| !open.record.accepted && open.record.target == *cell).count()
+    }
+
     /// Room promised to transfers in doubt, by cell.
     pub fn promised(&self) -> BTreeMap<CellName, Amounts> {
         let mut promised: BTreeMap<CellName, Amounts> = BTreeMap::new();
--- a/crates/cells/src/outbound/offer.rs
+++ b/crates/cells/src/outbound/offer.rs
@@ -16,8 +16,7 @@
 const REFUSALS_BEFORE_REST: u32 = 6;
 /// First such rest, seconds; doubles with each refusal. A cell's next report comes meanwhile.
 const REFUSED_REST_FIRST_S: f64 = EXCHANGE_INTERVAL_S;
-/// Longest rest after a cell had no room, seconds: it is offered again only where a newer
-/// report tells of room, and room that comes up is to be noticed soon.
+/// Longest rest after a cell had no room, seconds: room that comes up is to be noticed soon.
 const NO_ROOM_REST_MOST_S: f64 = 8.0;
 /// Longest rest after another refusal, seconds: it may last, and a dozen refusals an hour bound
 /// the records that both cells write of it.
@@ -27,8 +26,6 @@
 
 /// How long a job that was refused so often, last for that reason, rests before it is offered
 /// anew, seconds. Never for ever: what refuses it passes, and its home may have no room again.
-/// (After six refusals jobs stayed at home for good once. As cells fill while jobs land, one in
-/// some hundreds got so many, and at a home that stays full it waited for ever.)
 pub fn rest_after(refusals: u32, reason: RefusalReason) -> f64 {
     let Some(doublings) = refusals.checked_sub(REFUSALS_BEFORE_REST) else { return 0.0 };
     let most = match reason {
--- a/crates/core/src/cells/home.rs
+++ b/crates/core/src/cells/home.rs
@@ -1,11 +1,12 @@
 //! Jobs of this cell that move to others.
 
 use super::staying::waits_at_home;
-use super::{Call, Pending, Retry, cond, put};
+use super::{Call, Cells, Pending, Retry, cond, put};
 use crate::consts::STORE_RETRY_S;
 use crate::event::{Action, ActionSink, Secs, StoreRequest, StoreResult, TaskCounts};
 use crate::leader::Leader;
 use crate::replica::Replica;
+use marblebarrow_cells::capacity::RoomRequest;
 use marblebarrow_cells::choice::Choice;
 use marblebarrow_cells::message::{CellRequest, Exchange, Offer, Sender};
 use marblebarrow_cells::outbound::{DueOffer, finished_for};
@@ -16,7 +17,7 @@
 use marblebarrow_proto::records::{EndRecord, SpecRecord, end_key, progress_key, spec_key};
 use marblebarrow_proto::transfer::ForwardRecord;
 use marblebarrow_proto::wire::Txn;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 /// Seconds between two looks for jobs that may move: they wait for many more already.
@@ -24,6 +25,29 @@
 /// Changes of the store that the intent of a transfer takes.
 const INTENT_CHANGES: f64 = 1.0;
 
+impl Cells {
+    /// The cells that may be offered a job more. Transfers that wait for an answer are shared
+    /// out among the cells, so that a silent one holds up none to the others.
+    fn cells_below_share(&self, replica: &Replica) -> Vec<CellName> {
+        let others = self.settings.others.iter().map(|other| &other.name);
+        let known: Vec<&CellName> =
+            others.filter(|name| !replica.lost_cells.contains(name)).collect();
+        let share = self.settings.transfers_max.div_ceil(known.len().max(1));
+        let below = known.into_iter().filter(|name| self.under_way_to(name) < share);
+        below.cloned().collect()
+    }
+
+    /// Transfers to a cell that are being recorded, or wait for its answer.
+    fn under_way_to(&self, cell: &CellName) -> usize {
+        let to_cell = |pending: &&Pending| {
+            let Pending::Intent { record, .. } = pending else { return false };
+            record.forward.as_ref().is_some_and(|forward| forward.target == *cell)
+        };
+        let recorded = self.outbound.in_doubt_with(cell);
+        recorded + self.pending.values().filter(to_cell).count()
+    }
+}
+
 impl Leader {
     /// A job's record may say that it is elsewhere.
     pub(crate) fn learn_forward(&mut self, now: Secs, id: &JobId) {
@@ -66,9 +90,6 @@
             return;
         }
         cells.next_look = now + LOOK_EVERY_S;
-        let intents = |p: &&Pending| matches!(p, Pending::Intent { .. });
-        let under_way = cells.outbound.in_doubt() + cells.pending.values().filter(intents).count();
-        let most = cells.settings.transfers_max.saturating_sub(under_way);
         let (mut movable, mut staying) = (Vec::new(), BTreeMap::new());
         for (id, job) in self.jobs.iter().filter(|(_, job)| waits_at_home(job)) {
             match self.stay_reason(now, job) {
@@ -79,18 +100,42 @@
             }
         }
         movable.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
-        let mut left = most;
-        for (_, id) in movable {
-            let begun = match left {
-                0 => Err(StayReason::TransfersAtLimit),
-                _ => self.begin_transfer(now, &id, replica, out),
+        let movable = movable.into_iter().map(|(_, id)| id).collect();
+        staying.extend(self.begin_transfers(now, movable, replica, out));
+        self.note_staying(now, staying);
+    }
+
+    /// Begins the transfers of these jobs, in this order; of the others, the reason why not.
+    /// A job that no cell has room for holds up none behind it that asks for something else.
+    fn begin_transfers(
+        &mut self,
+        now: Secs,
+        jobs: Vec<JobId>,
+        replica: &Replica,
+        out: &mut ActionSink,
+    ) -> Vec<(JobId, StayReason)> {
+        let mut staying = Vec::new();
+        let mut without_room = HashSet::new();
+        let mut all_stay = None;
+        for id in jobs {
+            let Some(request) = self.jobs.get(&id).map(|job| RoomRequest::of(job.spec())) else {
+                continue;
             };
-            left = left.saturating_sub(1);
-            if let Err(reason) = begun {
-                staying.insert(id, reason);
+            let begun = match all_stay {
+                Some(reason) => Err(reason),
+                None if without_room.contains(&request) => Err(StayReason::NoCellWithRoom),
+                None => self.begin_transfer(now, &id, replica, out),
+            };
+            let Err(reason) = begun else { continue };
+            match reason {
+                StayReason::NoCellWithRoom => {
+                    without_room.insert(request);
+                }
+                reason => all_stay = Some(reason),
             }
+            staying.push((id, reason));
         }
-        self.note_staying(now, staying);
+        staying
     }
 
     /// Chooses a cell and records the intent; else the reason why not.
@@ -101,11 +146,10 @@
         replica: &Replica,
         out: &mut ActionSink,
     ) -> Result<(), StayReason> {
-        let record = self.jobs.get(id).map(|job| job.record.clone());
-        let target = record.as_ref().and_then(|r| self.choose_cell(now, &r.spec, replica));
-        let (Some(record), Some(target)) = (record, target) else {
+        let Some(record) = self.jobs.get(id).map(|job| job.record.clone()) else {
             return Err(StayReason::NoCellWithRoom);
         };
+        let target = self.choose_cell(now, &record.spec, replica)?;
         if !self.writer.afford(INTENT_CHANGES) {
             return Err(StayReason::StoreRate);
         }
@@ -129,11 +173,17 @@
         Ok(())
     }
 
-    fn choose_cell(&mut self, now: Secs, spec: &JobSpec, replica: &Replica) -> Option<CellName> {
-        let cells = self.cells.as_ref()?;
-        let others = cells.settings.others.iter().map(|other| other.name.clone());
-        let names: Vec<CellName> =
-            others.filter(|name| !replica.lost_cells.contains(name)).collect();
+    fn choose_cell(
+        &mut self,
+        now: Secs,
+        spec: &JobSpec,
+        replica: &Replica,
+    ) -> Result<CellName, StayReason> {
+        let cells = self.cells.as_ref().ok_or(StayReason::NoCellWithRoom)?;
+        let names = cells.cells_below_share(replica);
+        if names.is_empty() {
+            return Err(StayReason::TransfersAtLimit);
+        }
         let choice = Choice {
             cells: &names,
             book: &cells.book,
@@ -142,11 +192,11 @@
             report_age_s: cells.settings.report_age_s,
             policy: cells.policy.as_ref(),
         };
-        let chosen = choice.choose(spec, &mut self.rng)?;
+        let chosen = choice.choose(spec, &mut self.rng).ok_or(StayReason::NoCellWithRoom)?;
         if let Some(error) = &chosen.policy_error {
             self.log.push(|| format!("event=policy_failed job={} why=\"{error}\"", spec.id));
         }
-        Some(chosen.cell)
+        Ok(chosen.cell)
     }
 
     /// The outcome of an intent. One that is not known is found out by repeating it: its
