--- a/crates/core/src/cells/home.rs
+++ b/crates/core/src/cells/home.rs
@@ -26,14 +26,12 @@
 const INTENT_CHANGES: f64 = 1.0;
 
 impl Cells {
-    /// The cells that may be offered a job more. Transfers that wait for an answer are shared
-    /// out among the cells, so that a silent one holds up none to the others.
-    fn cells_below_share(&self, replica: &Replica) -> Vec<CellName> {
+    /// The cells that may be offered a job more. Each has a bound of its own on transfers that
+    /// wait for its answer, so that a silent one holds up none to the others.
+    fn cells_below_bound(&self, replica: &Replica) -> Vec<CellName> {
         let others = self.settings.others.iter().map(|other| &other.name);
-        let known: Vec<&CellName> =
-            others.filter(|name| !replica.lost_cells.contains(name)).collect();
-        let share = self.settings.transfers_max.div_ceil(known.len().max(1));
-        let below = known.into_iter().filter(|name| self.under_way_to(name) < share);
+        let known = others.filter(|name| !replica.lost_cells.contains(name));
+        let below = known.filter(|name| self.under_way_to(name) < self.settings.transfers_max);
         below.cloned().collect()
     }
 
@@ -180,7 +178,7 @@
         replica: &Replica,
     ) -> Result<CellName, StayReason> {
         let cells = self.cells.as_ref().ok_or(StayReason::NoCellWithRoom)?;
-        let names = cells.cells_below_share(replica);
+        let names = cells.cells_below_bound(replica);
         if names.is_empty() {
             return Err(StayReason::TransfersAtLimit);
         }
@@ -305,7 +303,8 @@
     ) {
         let Some(cells) = &mut self.cells else { return };
         let calling = cells.calls.values().filter(|c| matches!(c, Call::Offer { .. })).count();
-        let most = cells.settings.transfers_max.saturating_sub(calling);
+        let bound = cells.settings.transfers_max * cells.settings.others.len();
+        let most = bound.saturating_sub(calling);
         for DueOffer { job, transfer, target } in cells.outbound.due_offers(now, most) {
             let Some(record) = self.jobs.get(&job).map(|j| j.record.clone()) else { continue };
             let offer = Offer {
--- a/crates/core/src/cells/settle.rs
+++ b/crates/core/src/cells/settle.rs
@@ -57,6 +57,7 @@
         let mut record = SpecRecord::clone(&job.record);
         match settlement {
             Settlement::Accepted(_) => {
+                self.log.push(|| format!("event=transfer_accepted job={id}"));
                 if let Some(forward) = &mut record.forward {
                     forward.accepted = true;
                 }
--- a/crates/rehearsal/src/fleet_of_cells/plan.rs
+++ b/crates/rehearsal/src/fleet_of_cells/plan.rs
@@ -53,7 +53,7 @@
 }
 
 impl Plan {
-    /// Transfers that a cell may have in doubt.
+    /// Transfers that a cell may have in doubt with each other cell.
     pub const TRANSFERS_MAX: usize = 16;
 
     /// Three cells, of which the first has far too few machines.
@@ -88,7 +88,7 @@
         world.pace = (pace.max(1), if pace == 0 { 0 } else { self.until });
         world.cells = self.moving.then(|| Arc::new(self.settings(cell)));
         world.quarter = self.cancels;
-        world.rents_in_part = self.filled;
+        world.rents_in_part = true;
         world.spot_arrays = !self.filled;
         world.filled_by =
             (self.filled && cell == 0).then(|| self.machines[0] as u32 * TASKS_PER_MACHINE);
