Cells: a start that came to nothing leaves no job behind

Callers saw: an accepted job waits at its full home for ever, though other cells have room.

Cause: a job with a recorded start may never move, as another cell might run it a second time. A new leader of a home that a service fills gave the service's places to arrays while it hadn't found the replicas yet (their machines empty after a lease ran out, others not heard). Such a start came to nothing: the lease ran out once more, or the command was refused. By then the replicas were known to be lost and took all places; the job could neither start nor move. The same without a failover: a worker that began anew was filled in the answer to its heartbeat, from a list of waiting services that was older than the loss of its own replicas.

With other cells configured, a recovering leader withholds as much free capacity as unfound replicas need; a machine whose tasks were lost waits for a full pass; and an array that can't move and runs nowhere is placed before services of no higher priority, one such array at a time. So it gets its place at home: no job begins in two cells.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -112,6 +112,9 @@
         m.exited.clear();
         m.strangers.clear();
         m.unconfirmed_starts.clear();
+        if !m.tasks.is_empty() {
+            m.tasks_lost_at = Some(now);
+        }
         for task in m.tasks.clone() {
             self.over(&task.job, task.index, Outcome::Lost, now);
         }
--- a/crates/core/src/cells/mod.rs
+++ b/crates/core/src/cells/mod.rs
@@ -102,6 +102,8 @@
     next_look: Secs,
     /// Why each job that waits stays, as of the last look.
     staying: StayingJobs,
+    /// The array bound to this cell that was last served before services.
+    pub(crate) served_first: Option<JobId>,
 }
 
 impl Cells {
@@ -124,6 +126,7 @@
             retries: Vec::new(),
             next_look: now,
             staying: StayingJobs::default(),
+            served_first: None,
         }
     }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -39,6 +39,8 @@
     /// The number of its newest heartbeat of its own (answers to direct commands
     /// left out): an older one is a late copy, and its sender has given it up.
     pub heartbeat_seq: u64,
+    /// When tasks on it were last lost with it, or with its worker's agent epoch.
+    pub tasks_lost_at: Option<Secs>,
     /// When that came.
     pub last_heartbeat: Option<Secs>,
     /// When it last proved that our words reach it. Its heartbeats alone don't:
@@ -124,6 +126,7 @@
             heard: None,
             answered: now,
             heartbeat_seq: 0,
+            tasks_lost_at: None,
             last_heartbeat: None,
             reached: None,
             probe_due: false,
--- a/crates/core/src/place/mod.rs
+++ b/crates/core/src/place/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! A scheduling pass serves services first, by priority and arrival; then gangs; then
 //! array jobs that have waited too long for their first task; then all other array jobs
-//! from the weighted queues ([`array_jobs`]). Team quotas bound every step ([`quota`]).
+//! from the weighted queues ([`array_jobs`]). Where jobs may move to other cells, some arrays
+//! go first, and some capacity is withheld ([`bound_to_cell`]). Team quotas bound every step ([`quota`]).
 //!
 //! A full pass looks at all machines. A machine that becomes free between two full passes
 //! is filled by a pass over this machine alone, from the queue snapshot of the last full
@@ -10,6 +11,7 @@
 
 mod array_jobs;
 mod assign;
+mod bound_to_cell;
 mod candidates;
 mod deadlines;
 mod image_demand;
@@ -49,7 +51,9 @@
         let spare_running = self.queue_snapshot.spare_running;
         let mut pass =
             SchedulingPass::new(now, usage, available, only_machine.cloned(), spare_running);
+        self.place_left_behind(&mut pass);
         self.place_services(&mut pass);
+        self.withhold_for_unfound_replicas(&mut pass);
         if pass.is_full() {
             self.place_gangs(&mut pass);
         }
