--- a/crates/core/src/heartbeats/mod.rs
+++ b/crates/core/src/heartbeats/mod.rs
@@ -89,11 +89,11 @@
     }
 
     /// What becomes free is filled at once, in the same answer if the start is recorded
-    /// already. A machine whose tasks were lost waits for a full pass, which knows that these
-    /// wait too.
+    /// already. Where a start binds a job to this cell, a machine whose tasks were lost waits
+    /// for a full pass, which knows that these wait too.
     fn fill_machine(&mut self, now: Secs, id: &MachineId) -> Option<()> {
         let tasks_lost_at = self.machines.get(id)?.tasks_lost_at;
-        if tasks_lost_at.is_some_and(|at| at >= self.placed_at) {
+        if self.cells.is_some() && tasks_lost_at.is_some_and(|at| at >= self.placed_at) {
             return Some(());
         }
         if self.backlog && self.machines.get(id)?.free()[0] + AMOUNT_TOLERANCE >= self.least_cpus {
