--- a/crates/rehearsal/src/sweep.rs
+++ b/crates/rehearsal/src/sweep.rs
@@ -2,8 +2,10 @@
 //! `SWEEP_SEEDS=FROM..TO` a sweep plays those instead, on all cores, and prints what each
 //! failing seed came to:
 //!
-//!     SWEEP_SEEDS=0..240 cargo test --release -p marblebarrow-core --test cluster -- \
-//!         --nocapture sweep_one_down
+//! ```text
+//! SWEEP_SEEDS=0..240 cargo test --release -p marblebarrow-core --test cluster -- \
+//!     --nocapture sweep_one_down
+//! ```
 
 use std::env;
 use std::sync::Mutex;
