Review, case 1: a production service waits without end for idle work of another team

The last young attempt of a spare-capacity job is exempt from every preemption, and jobs of one short task are exempt for all their life.

--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -1,6 +1,7 @@
 //! Runs a case of the review: `review-kit CASE RECORD DIRECTORY`, from the repository's root.
 //! Exit code 1: the rule was broken; 0: it held; 2: the case couldn't run.
 
+mod case_guarantee;
 mod case_limits;
 mod case_orphaned;
 mod case_reserved;
@@ -39,6 +40,7 @@
     record.line(&format!("case {case}, TROUBLE={}", u8::from(trouble)));
     let context = Context { record: record.clone(), dir: Path::new(dir), trouble };
     let verdict = match case.as_str() {
+        "guarantee" => case_guarantee::run(&context),
         "limits" => case_limits::run(&context),
         "orphaned" => case_orphaned::run(&context),
         "reserved" => case_reserved::run(&context),
--- a/review/kit/platform.rs
+++ b/review/kit/platform.rs
@@ -234,6 +234,13 @@
         self.lock().started.get(job).copied().unwrap_or(0)
     }
 
+    /// How many tasks of a team were started so far.
+    pub fn starts_of_team(&self, team: &str) -> u32 {
+        let state = self.lock();
+        let of_team = |id: &String| state.jobs.get(id).is_some_and(|job| job.team == team);
+        state.started.iter().filter(|(id, _)| of_team(id)).map(|(_, n)| n).sum()
+    }
+
     /// How many tasks of a job have completed.
     pub fn completed(&self, job: &str) -> usize {
         let prefix = format!("{job}/");
