Log submissions that the state service rejects or that are refused

A refused submission left no trace in a controller's log, at any LOG_LEVEL, so a 422 given because the state service answered 400 couldn't be told from one given because of machine types, teams or dependencies. event=submission_rejected (info) has the size of the record and the limit known here; event=submission_refused (debug) has the reason.

--- a/crates/core/src/log.rs
+++ b/crates/core/src/log.rs
@@ -37,6 +37,13 @@
     suppressed: u64,
 }
 
+impl Default for Log {
+    /// A log without debug lines.
+    fn default() -> Self {
+        Self::new(false)
+    }
+}
+
 impl Log {
     /// Creates a log that keeps debug lines only if they are enabled.
     pub fn new(debug_enabled: bool) -> Self {
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -96,6 +96,7 @@
     pub fn new(facts: Facts, boot: u64, now: Secs) -> Self {
         let facts = Arc::new(facts);
         let log = Log::new(facts.log);
+        let user_api = UserApi::new(Log::new(facts.log));
         let election = Election::new(facts.node.clone(), facts.others.clone(), boot, now)
             .skip_startup_wait_if_single();
         let controllers = facts.others.iter().chain([&facts.node]).cloned().collect();
@@ -105,7 +106,7 @@
             facts,
             election,
             replica: Replica::default(),
-            user_api: UserApi::default(),
+            user_api,
             leader: None,
             types: None,
             types_op: None,
@@ -135,6 +136,7 @@
     /// Takes the log lines that have accumulated since the last call.
     pub fn take_log(&mut self) -> Vec<LogLine> {
         let mut log = self.log.take();
+        log.append(&mut self.user_api.log.take());
         if let Some(leader) = &mut self.leader {
             log.append(&mut leader.log.take());
         }
--- a/crates/core/src/user_api.rs
+++ b/crates/core/src/user_api.rs
@@ -20,6 +20,7 @@
     UserRequest,
 };
 use crate::facts::Facts;
+use crate::log::Log;
 use crate::replica::Replica;
 use marblebarrow_proto::cbor::from_value;
 use marblebarrow_proto::ids::JobId;
@@ -46,7 +47,7 @@
     /// A check that an accepted job neither has a final state nor is cancelled by a cascade.
     OpenCheck(Poll),
     /// The transaction that accepts a submission.
-    Submit(JobId, ReplyTo),
+    Submit(PendingSubmission),
     /// The read of a job's spec and its version, before the job is cancelled.
     CancelRead(JobId, ReplyTo),
     /// The transaction that cancels a job; the number is the job's task count.
@@ -64,6 +65,15 @@
     SubmitCancelled(JobId, ReplyTo, u32),
 }
 
+/// A submission whose acceptance is being recorded.
+#[derive(Debug)]
+struct PendingSubmission {
+    job: JobId,
+    to: ReplyTo,
+    /// Size of the job's spec record, in bytes of JSON.
+    record_bytes: usize,
+}
+
 /// What a user is told if a job has no final state.
 #[derive(Debug, Clone, Copy)]
 enum OnMissing {
@@ -96,6 +106,8 @@
     confirmed: Vec<(JobId, u64)>,
     /// Counts of done and running tasks of unfinished jobs, for display only.
     pub progress: BTreeMap<JobId, TaskCounts>,
+    /// Log lines about users' requests.
+    pub(crate) log: Log,
 }
 
 /// The controller state that the handling of a request needs.
@@ -146,6 +158,11 @@
 }
 
 impl UserApi {
+    /// Creates a user API without pending requests that logs to `log`.
+    pub fn new(log: Log) -> Self {
+        Self { log, ..Self::default() }
+    }
+
     /// Handles a user's request; the answer goes to `to`.
     pub fn handle_request(
         &mut self,
@@ -227,7 +244,7 @@
                     _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
                 }
             }
-            Pending::Submit(id, to) => {
+            Pending::Submit(PendingSubmission { job: id, to, record_bytes }) => {
                 self.writes -= 1;
                 match result {
                     StoreResult::Committed(_) => {
@@ -238,7 +255,10 @@
                     }
                     // Accepted before, and perhaps ended since.
                     StoreResult::Conflict(keys) => self.resubmitted(context, id, to, keys, out),
-                    StoreResult::Rejected => out.reply(to, Answer::NeverRuns("too large to store")),
+                    StoreResult::Rejected => {
+                        self.log_rejected(context, &id, record_bytes);
+                        out.reply(to, Answer::NeverRuns("too large to store"));
+                    }
                     _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
                 }
             }
--- a/crates/core/src/user_api/submissions.rs
+++ b/crates/core/src/user_api/submissions.rs
@@ -2,12 +2,16 @@
 //! and recorded.
 
 use super::polls::Poll;
-use super::{Pending, RequestContext, UserApi, cancelled_status, never_runs, terminal_status};
+use super::{
+    Pending, PendingSubmission, RequestContext, UserApi, cancelled_status, never_runs,
+    terminal_status,
+};
 use crate::consts::*;
 use crate::dependency_check::{
     DependencyCheck, DependencyStep, KnownDependency, absence_transaction,
 };
 use crate::event::{ActionSink, Answer, ReplyTo, StoreRequest};
+use crate::record_shape::SizedValue;
 use marblebarrow_proto::cbor::to_value;
 use marblebarrow_proto::ids::JobId;
 use marblebarrow_proto::job::JobSpec;
@@ -40,6 +44,7 @@
             return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
         };
         if let Some(why) = never_runs(&spec, context.facts, types) {
+            self.log.debug(|| format!("event=submission_refused job={} why=\"{why}\"", spec.id));
             return out.reply(to, Answer::NeverRuns(why));
         }
         if !spec.dependencies.is_empty() && !context.dependencies_allowed {
@@ -64,16 +69,33 @@
         out: &mut ActionSink,
     ) {
         let id = spec.id.clone();
-        let record = SpecRecord::submitted(spec, context.wall_ms);
+        let record = SizedValue::of(&SpecRecord::submitted(spec, context.wall_ms));
         let txn = Txn {
             conditions: vec![
                 Condition { key: spec_key(&id), version: 0 },
                 Condition { key: end_key(&id), version: 0 },
             ],
-            writes: vec![Write::Put { key: spec_key(&id), value: to_value(&record), lease: None }],
+            writes: vec![Write::Put { key: spec_key(&id), value: record.value, lease: None }],
         };
         let op = out.store(StoreRequest::Commit(txn));
-        self.pending.insert(op, Pending::Submit(id, to));
+        let submission = PendingSubmission { job: id, to, record_bytes: record.bytes };
+        self.pending.insert(op, Pending::Submit(submission));
+    }
+
+    /// Logs that the state service rejected the record of a submission, with the record's size and
+    /// the limit that this controller knows.
+    pub(super) fn log_rejected(
+        &mut self,
+        context: &RequestContext<'_>,
+        job: &JobId,
+        record_bytes: usize,
+    ) {
+        let limit = context.facts.store_value_bytes;
+        self.log.info(context.now, || {
+            format!(
+                "event=submission_rejected job={job} record_bytes={record_bytes} value_limit={limit}"
+            )
+        });
     }
 
     /// Starts the check that a submission's dependencies were accepted. State known here proves
@@ -126,6 +148,10 @@
             }
             DependencyStep::Refuse(unknown) => {
                 self.writes -= 1;
+                self.log.debug(|| {
+                    let (job, count) = (&check.spec.id, unknown.len());
+                    format!("event=submission_refused job={job} unknown_dependencies={count}")
+                });
                 out.reply(check.to, Answer::UnknownDependencies(unknown));
             }
             DependencyStep::Accept => self.write_submission(context, check.to, check.spec, out),
--- a/crates/core/tests/user_api.rs
+++ b/crates/core/tests/user_api.rs
@@ -7,7 +7,7 @@
 use marblebarrow_core::node::Node;
 use marblebarrow_core::replica::Replica;
 use marblebarrow_core::user_api::{RequestContext, UserApi};
-use marblebarrow_proto::cbor::to_value;
+use marblebarrow_proto::cbor::{json_len, to_value};
 use marblebarrow_proto::ids::{JobId, NodeId};
 use marblebarrow_proto::job::{JobSpec, Kind, Priority};
 use marblebarrow_proto::records::{
@@ -129,6 +129,26 @@
     }
 }
 
+/// The log shows which record the state service rejected, and its size beside the known limit:
+/// users only see the status.
+#[test]
+fn a_rejected_submission_is_logged_with_its_size() {
+    let mut node = node();
+    node.take_actions();
+    node.take_log();
+    let submit = UserRequest::Submit(Box::new(job(1)));
+    node.handle(0.3, 0, Event::User(ReplyTo(1), submit));
+    let Some(Action::Store(op, StoreRequest::Commit(txn))) = node.take_actions().pop() else {
+        panic!("no transaction records the job");
+    };
+    node.handle(0.4, 0, Event::Store(op, StoreResult::Rejected));
+    let [Write::Put { value, .. }] = &txn.writes[..] else { panic!("{txn:?}") };
+    let (bytes, limit) = (json_len(value), facts().store_value_bytes);
+    let expected =
+        format!("event=submission_rejected job={} record_bytes={bytes} value_limit={limit}", id(1));
+    assert!(node.take_log().iter().any(|line| line.text == expected));
+}
+
 /// A controller that the store refuses while a peer is served, or that hears no peer at all,
 /// is the one cut off: its health check fails, and users are told to retry.
 #[test]
