Refuse a submission only once its job is proven never accepted

Cause: a refusal is final and was given without asking whether the job had been accepted. A repeated submission was recognised by the conditions of the accepting transaction, and the state service rejects a value that is too large without comparing versions. The refusals of jobs that can never run and of jobs with unknown dependencies had the same cause: once the remembered end of a job is gone, teams, machine types or dependencies of today decide over a job accepted long ago.

Mend: each of the three refusals first commits a transaction of conditions alone: neither spec nor final state. It has no value to be too large for, and the store orders it after any acceptance a user was told of. A conflict is answered as any repeated submission; no answer means 503. A refused submission costs one store request more and holds its slot of USER_WRITES_MAX meanwhile.

--- a/crates/core/src/user_api.rs
+++ b/crates/core/src/user_api.rs
@@ -10,8 +10,9 @@
 //! here; see [`crate::cascaded_jobs`]. If the local copy is behind, the request waits for it
 //! briefly, and then the user is asked to retry.
 //!
-//! A submission that names DAG dependencies (`waits_on`) is accepted only once each of these
-//! jobs is proven accepted; see [`crate::dependency_check`].
+//! A submission is refused only once the store has proven that its job was never accepted; see
+//! `refusals`. A submission that names DAG dependencies (`waits_on`) is accepted only once each of
+//! these jobs is proven accepted; see [`crate::dependency_check`].
 
 use crate::consts::*;
 use crate::dependency_check::{DependencyCheck, FinalState};
@@ -32,10 +33,12 @@
 mod cancellations;
 mod cascade_reads;
 mod polls;
+mod refusals;
 mod submissions;
 
 use cascade_reads::CascadeReads;
 use polls::{CheckedPoll, Poll};
+use refusals::Refusal;
 
 /// What a store request in flight is for.
 #[derive(Debug)]
@@ -48,6 +51,8 @@
     OpenCheck(Poll),
     /// The transaction that accepts a submission.
     Submit(PendingSubmission),
+    /// A check transaction that proves that a refused job was never accepted.
+    Refusal(Refusal),
     /// The read of a job's spec and its version, before the job is cancelled.
     CancelRead(JobId, ReplyTo),
     /// The transaction that cancels a job; the number is the job's task count.
@@ -244,24 +249,10 @@
                     _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
                 }
             }
-            Pending::Submit(PendingSubmission { job: id, to, record_bytes }) => {
-                self.writes -= 1;
-                match result {
-                    StoreResult::Committed(_) => {
-                        let stage = Stage::Queued;
-                        let status =
-                            JobStatus { id, stage, done: 0, running: 0, waits_on: Vec::new() };
-                        out.reply(to, Answer::Job(201, status));
-                    }
-                    // Accepted before, and perhaps ended since.
-                    StoreResult::Conflict(keys) => self.resubmitted(context, id, to, keys, out),
-                    StoreResult::Rejected => {
-                        self.log_rejected(context, &id, record_bytes);
-                        out.reply(to, Answer::NeverRuns("too large to store"));
-                    }
-                    _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
-                }
+            Pending::Submit(submission) => {
+                self.submission_written(context, submission, result, out);
             }
+            Pending::Refusal(refusal) => self.refusal_checked(context, refusal, result, out),
             Pending::CancelRead(id, to) => match result {
                 StoreResult::Value(Some(item)) => match from_value::<SpecRecord>(&item.value) {
                     Ok(record) => {
--- a/crates/core/src/user_api/submissions.rs
+++ b/crates/core/src/user_api/submissions.rs
@@ -2,6 +2,7 @@
 //! and recorded.
 
 use super::polls::Poll;
+use super::refusals::Refusal;
 use super::{
     Pending, PendingSubmission, RequestContext, UserApi, cancelled_status, never_runs,
     terminal_status,
@@ -10,13 +11,13 @@
 use crate::dependency_check::{
     DependencyCheck, DependencyStep, KnownDependency, absence_transaction,
 };
-use crate::event::{ActionSink, Answer, ReplyTo, StoreRequest};
+use crate::event::{ActionSink, Answer, ReplyTo, StoreRequest, StoreResult};
 use crate::record_shape::SizedValue;
 use marblebarrow_proto::cbor::to_value;
 use marblebarrow_proto::ids::JobId;
 use marblebarrow_proto::job::JobSpec;
 use marblebarrow_proto::records::{EndRecord, SpecRecord, end_key, spec_key};
-use marblebarrow_proto::wire::{Condition, Txn, Write};
+use marblebarrow_proto::wire::{Condition, JobStatus, Stage, Txn, Write};
 
 impl UserApi {
     /// Handles a submission: answers it at once, or starts the requests that accept it.
@@ -43,17 +44,18 @@
         let Some(types) = context.types else {
             return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
         };
-        if let Some(why) = never_runs(&spec, context.facts, types) {
-            self.log.debug(|| format!("event=submission_refused job={} why=\"{why}\"", spec.id));
-            return out.reply(to, Answer::NeverRuns(why));
-        }
-        if !spec.dependencies.is_empty() && !context.dependencies_allowed {
+        let refused = never_runs(&spec, context.facts, types);
+        if refused.is_none() && !spec.dependencies.is_empty() && !context.dependencies_allowed {
             return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
         }
         if self.writes >= USER_WRITES_MAX {
             return out.reply(to, Answer::Overloaded(RETRY_FULL_S));
         }
         self.writes += 1;
+        if let Some(why) = refused {
+            let answer = Answer::NeverRuns(why);
+            return self.refuse(Refusal { job: spec.id, to, answer }, out);
+        }
         if spec.dependencies.is_empty() {
             return self.write_submission(context, to, spec, out);
         }
@@ -82,14 +84,39 @@
         self.pending.insert(op, Pending::Submit(submission));
     }
 
-    /// Logs that the state service rejected the record of a submission, with the record's size and
-    /// the limit that this controller knows.
-    pub(super) fn log_rejected(
+    /// Handles the outcome of the transaction that accepts a job.
+    pub(super) fn submission_written(
         &mut self,
         context: &RequestContext<'_>,
-        job: &JobId,
-        record_bytes: usize,
+        submission: PendingSubmission,
+        result: &StoreResult,
+        out: &mut ActionSink,
     ) {
+        let PendingSubmission { job, to, record_bytes } = submission;
+        if matches!(result, StoreResult::Rejected) {
+            // The state service may reject a value that is too large without comparing the
+            // versions, so the job may have been accepted under a higher limit.
+            self.log_rejected(context, &job, record_bytes);
+            let answer = Answer::NeverRuns("too large to store");
+            return self.refuse(Refusal { job, to, answer }, out);
+        }
+        self.writes -= 1;
+        match result {
+            StoreResult::Committed(_) => {
+                let stage = Stage::Queued;
+                let status =
+                    JobStatus { id: job, stage, done: 0, running: 0, waits_on: Vec::new() };
+                out.reply(to, Answer::Job(201, status));
+            }
+            // Accepted before, and perhaps ended since.
+            StoreResult::Conflict(keys) => self.resubmitted(context, job, to, keys, out),
+            _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
+        }
+    }
+
+    /// Logs that the state service rejected the record of a submission, with the record's size and
+    /// the limit that this controller knows.
+    fn log_rejected(&mut self, context: &RequestContext<'_>, job: &JobId, record_bytes: usize) {
         let limit = context.facts.store_value_bytes;
         self.log.info(context.now, || {
             format!(
@@ -147,12 +174,9 @@
                 self.pending.insert(op, Pending::DependencyEnd(check, dependency));
             }
             DependencyStep::Refuse(unknown) => {
-                self.writes -= 1;
-                self.log.debug(|| {
-                    let (job, count) = (&check.spec.id, unknown.len());
-                    format!("event=submission_refused job={job} unknown_dependencies={count}")
-                });
-                out.reply(check.to, Answer::UnknownDependencies(unknown));
+                let DependencyCheck { spec, to, .. } = *check;
+                let answer = Answer::UnknownDependencies(unknown);
+                self.refuse(Refusal { job: spec.id, to, answer }, out);
             }
             DependencyStep::Accept => self.write_submission(context, check.to, check.spec, out),
             DependencyStep::AcceptCancelled => {
--- a/crates/core/tests/cluster/store_limits.rs
+++ b/crates/core/tests/cluster/store_limits.rs
@@ -80,3 +80,24 @@
         }
     }
 }
+
+/// Guards against 422 for an accepted job whose spec is larger than the limit became later, also at
+/// controllers that have restarted since.
+#[test]
+fn accepted_jobs_above_the_lowered_limit_are_not_refused() {
+    let faults = [
+        (LOWERED_AT - 20, Fault::AnswersLost(100)),
+        (LOWERED_AT + 60, at_leader(Fault::Crash(0, 3))),
+        (LOWERED_AT + 120, Fault::LateWrites(120)),
+        (LOWERED_AT + 200, Fault::CrashAll(5)),
+    ];
+    for announced in [true, false] {
+        for seed in 0..4 {
+            let mut world = lowered_limits_world(seed, announced, &faults);
+            world.large_specs_until = LOWERED_AT - 50;
+            starts_after_lowering(&mut world);
+            let rejected = world.observed.submissions_rejected;
+            assert!(rejected > 0, "seed {seed}, announced {announced}: none was too large");
+        }
+    }
+}
--- a/crates/core/tests/user_api.rs
+++ b/crates/core/tests/user_api.rs
@@ -310,7 +310,11 @@
 }
 
 fn reply(code: u16, n: u32, stage: Stage, waits_on: Vec<JobId>) -> Answer {
-    Answer::Job(code, JobStatus { id: id(n), stage, done: 0, running: 0, waits_on })
+    Answer::Job(code, JobStatus { waits_on, ..status(n, stage) })
+}
+
+fn status(n: u32, stage: Stage) -> JobStatus {
+    JobStatus { id: id(n), stage, done: 0, running: 0, waits_on: Vec::new() }
 }
 
 fn item(key: String, value: Value) -> (String, Item) {
@@ -482,3 +486,115 @@
         assert_eq!(answer, Some(Answer::Unavailable(RETRY_STORE_S)));
     }
 }
+
+/// The largest value that [`store_with_value_limit`] takes, in bytes of JSON: above a final state's
+/// size, below that of a spec record.
+const VALUE_LIMIT: usize = 100;
+
+/// As [`simulate_store`], with a value limit that, as the state service may, is applied without
+/// comparing the versions.
+fn store_with_value_limit(store: &mut Store, request: StoreRequest) -> StoreResult {
+    let too_large =
+        |write: &Write| matches!(write, Write::Put { value, .. } if json_len(value) > VALUE_LIMIT);
+    match &request {
+        StoreRequest::Commit(txn) if txn.writes.iter().any(too_large) => StoreResult::Rejected,
+        _ => simulate_store(store, request),
+    }
+}
+
+/// A store with an open job (1), a done one (2) and a cancelled one whose tasks may remain (3).
+/// Another controller accepted them, and the replica doesn't show them yet.
+fn store_with_accepted_jobs() -> Store {
+    let record = |n| to_value(&SpecRecord::submitted(job(n), 0));
+    let end = |cancelled| to_value(&EndRecord { cancelled, tasks: 1 });
+    Store::from([
+        item(spec_key(&id(1)), record(1)),
+        item(end_key(&id(2)), end(false)),
+        item(spec_key(&id(3)), record(3)),
+        item(end_key(&id(3)), end(true)),
+    ])
+}
+
+/// The answers to a repeated submission of the jobs of [`store_with_accepted_jobs`].
+fn states_of_accepted_jobs() -> [Answer; 3] {
+    let done = JobStatus { done: 1, ..status(2, Stage::Done) };
+    [
+        reply(200, 1, Stage::Queued, vec![]),
+        Answer::Job(200, done),
+        reply(200, 3, Stage::Cancelled, vec![]),
+    ]
+}
+
+fn synced() -> Replica {
+    let mut replica = Replica::default();
+    replica.synced = true;
+    replica
+}
+
+/// Guards against 422 "too large to store" for a job accepted before the value limit was lowered.
+#[test]
+fn an_accepted_job_is_not_refused_after_the_value_limit_is_lowered() {
+    let mut store = store_with_accepted_jobs();
+    for (n, expected) in (1..).zip(states_of_accepted_jobs()) {
+        let answer = ask_with(&mut UserApi::default(), &synced(), submit(n, &[]), |asked| {
+            store_with_value_limit(&mut store, asked)
+        });
+        assert_eq!(answer, expected, "job {n}");
+    }
+    let never_accepted = ask_with(&mut UserApi::default(), &synced(), submit(4, &[]), |asked| {
+        store_with_value_limit(&mut store, asked)
+    });
+    assert_eq!(never_accepted, Answer::NeverRuns("too large to store"));
+    assert_eq!(store, store_with_accepted_jobs(), "nothing is written");
+}
+
+/// Guards against 422 for an accepted job once its team or every machine type it allows is gone.
+#[test]
+fn an_accepted_job_is_not_refused_after_its_team_or_machine_types_are_gone() {
+    let changes: [fn(JobSpec) -> JobSpec; 2] = [
+        |spec| JobSpec { team: "gone".into(), ..spec },
+        |spec| JobSpec { types: Some(vec!["gone".into()]), ..spec },
+    ];
+    let mut store = store_with_accepted_jobs();
+    for change in changes {
+        let request = |n| UserRequest::Submit(Box::new(change(job(n))));
+        for (n, expected) in (1..).zip(states_of_accepted_jobs()) {
+            let answer = ask(&mut UserApi::default(), &synced(), &mut store, request(n));
+            assert_eq!(answer, expected, "job {n}");
+        }
+        let never_accepted = ask(&mut UserApi::default(), &synced(), &mut store, request(4));
+        assert!(matches!(never_accepted, Answer::NeverRuns(_)), "{never_accepted:?}");
+    }
+}
+
+/// Guards against 422 for an accepted job whose repeated submission names a job never accepted, as
+/// one accepted by a version that ignores dependencies may.
+#[test]
+fn an_accepted_job_is_not_refused_for_its_dependencies() {
+    let mut store = store_with_accepted_jobs();
+    for (n, expected) in (1..).zip(states_of_accepted_jobs()) {
+        let answer = ask(&mut UserApi::default(), &synced(), &mut store, submit(n, &[4]));
+        assert_eq!(answer, expected, "job {n}");
+    }
+}
+
+/// Guards against a refusal, and against a lost submission slot, when the check that a job was
+/// never accepted gets no usable reply.
+#[test]
+fn a_refusal_without_proof_is_answered_with_retry_and_leaks_no_submission_slot() {
+    let mut store = Store::new();
+    let mut api = UserApi::default();
+    let unknown_team = JobSpec { team: "gone".into(), ..job(1) };
+    for result in [StoreResult::Refused, StoreResult::Unknown, StoreResult::Rejected] {
+        for _ in 0..=USER_WRITES_MAX {
+            let request = UserRequest::Submit(Box::new(unknown_team.clone()));
+            let answer = ask_with(&mut api, &synced(), request, |_| result.clone());
+            assert_eq!(answer, Answer::Unavailable(RETRY_STORE_S));
+        }
+    }
+    for _ in 0..=USER_WRITES_MAX {
+        let request = UserRequest::Submit(Box::new(unknown_team.clone()));
+        let answer = ask(&mut api, &synced(), &mut store, request);
+        assert!(matches!(answer, Answer::NeverRuns(_)), "{answer:?}");
+    }
+}
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -233,6 +233,8 @@
     cascade_told: Vec<f64>,
     /// Steps between polls of each user, a multiple of ten.
     pub poll_every: u32,
+    /// Jobs submitted before this step name many machine types, so that their specs are large.
+    pub large_specs_until: u32,
     /// Limits of the state service, if any.
     pub store_limits: Option<StoreLimits>,
     store_budget: store_limits::StoreBudget,
--- a/crates/rehearsal/src/world/observations.rs
+++ b/crates/rehearsal/src/world/observations.rs
@@ -65,6 +65,8 @@
     pub store_refusals: u32,
     /// Transactions that the store rejected as too large.
     pub rejections: u32,
+    /// Submissions rejected by the store as too large.
+    pub submissions_rejected: u32,
     /// Polls about the cascade's jobs that were answered without a status, because the controller's
     /// replica was behind or the controller was overloaded.
     pub cascade_unanswered: u32,
--- a/crates/rehearsal/src/world/settings.rs
+++ b/crates/rehearsal/src/world/settings.rs
@@ -92,6 +92,7 @@
             cascade: None,
             cascade_told: Vec::new(),
             poll_every: 10,
+            large_specs_until: 0,
             store_limits: None,
             store_budget: store_limits::StoreBudget::default(),
             expired_leases: 0,
--- a/crates/rehearsal/src/world/store.rs
+++ b/crates/rehearsal/src/world/store.rs
@@ -81,6 +81,11 @@
         }
         match req {
             StoreRequest::Commit(txn) => {
+                // Sizes are checked first, whether or not the conditions hold.
+                if self.too_large(txn) {
+                    self.note_too_large(txn);
+                    return StoreResult::Rejected;
+                }
                 let failed: Vec<String> = txn
                     .conditions
                     .iter()
@@ -99,14 +104,6 @@
                 if has_unknown_lease {
                     return StoreResult::Rejected;
                 }
-                if self.too_large(txn) {
-                    self.observed.rejections += 1;
-                    if self.store_limits.is_some_and(|limits| limits.announced) {
-                        let key = txn.conditions.last().map(|cond| cond.key.clone());
-                        self.violations.push(format!("too large a transaction: {key:?}"));
-                    }
-                    return StoreResult::Rejected;
-                }
                 if txn.writes.len() > 16 || txn.conditions.len() > 64 {
                     self.violations.push(format!("too large a transaction: {}", txn.writes.len()));
                 }
--- a/crates/rehearsal/src/world/store_limits.rs
+++ b/crates/rehearsal/src/world/store_limits.rs
@@ -1,6 +1,7 @@
 //! Rate and size limits of the simulated state service, if a run sets any.
 
 use super::*;
+use marblebarrow_proto::records::{LEADER_KEY, SPECS_PREFIX};
 
 /// Limits of the state service. Both rates allow bursts of one second's worth.
 #[derive(Clone, Copy, Debug)]
@@ -71,6 +72,21 @@
         true
     }
 
+    /// Counts a transaction that exceeds the size limits. If these are announced, the controllers
+    /// must not exceed them, except with a submission: what users submit is theirs, and the state
+    /// service may take it as long as the announced limits don't apply.
+    pub(super) fn note_too_large(&mut self, txn: &Txn) {
+        if accepts_submission(txn) {
+            self.observed.submissions_rejected += 1;
+            return;
+        }
+        self.observed.rejections += 1;
+        if self.store_limits.is_some_and(|limits| limits.announced) {
+            let key = txn.conditions.last().map(|cond| cond.key.clone());
+            self.violations.push(format!("too large a transaction: {key:?}"));
+        }
+    }
+
     /// Whether a transaction exceeds the size limits of the state service.
     pub(super) fn too_large(&self, txn: &Txn) -> bool {
         let Some(limits) = self.limits_in_force() else { return false };
@@ -86,3 +102,10 @@
 
 /// Conditions allowed in a transaction for each change allowed.
 const CONDITIONS_PER_CHANGE: usize = 4;
+
+/// Whether a transaction accepts a user's submission: it writes a job's spec and nothing else, and
+/// isn't conditional on leadership.
+fn accepts_submission(txn: &Txn) -> bool {
+    let [Write::Put { key, .. }] = &txn.writes[..] else { return false };
+    key.starts_with(SPECS_PREFIX) && txn.conditions.iter().all(|cond| cond.key != LEADER_KEY)
+}
--- a/crates/rehearsal/src/world/users.rs
+++ b/crates/rehearsal/src/world/users.rs
@@ -2,6 +2,15 @@
 
 use super::*;
 
+/// Number of machine types that a large spec names, as many as a submission may.
+const LISTED_TYPES: usize = 64;
+
+/// The names of the only machine type that there is and of others: about 1.5 KiB.
+fn long_type_list() -> Vec<String> {
+    let others = (1..LISTED_TYPES).map(|n| format!("another-machine-type-{n:02}"));
+    std::iter::once("k".to_owned()).chain(others).collect()
+}
+
 impl World {
     /// The spec of job number `n`.
     pub(super) fn spec(&mut self, n: u32) -> JobSpec {
@@ -34,7 +43,7 @@
             memory_gb: 1.0,
             image: format!("i{}", n % 2),
             image_gb: 0.5,
-            types: None,
+            types: (self.step < self.large_specs_until).then(long_type_list),
             zone: (self.zone_bound_jobs && n.is_multiple_of(3))
                 .then(|| "ab"[(n % 2) as usize..][..1].into()),
             one_zone: false,
