Answer 400 to a submission only once its job is proven never accepted

Callers would see: the repeated submission of an accepted job gets 400 when the version that answers takes one of its fields for invalid, though another version (or an earlier one) accepted it.

Mend: an invalid submission that names a well-formed job goes to the core, which answers as for any submission: the state if the job is known, else the proof that it was never accepted and 400. It counts among submissions in progress (429 beyond USER_WRITES_MAX) and gets 503 while the state service is out, as valid ones do. Bodies without a job id get 400 at once, as before.

--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -2,7 +2,7 @@
 
 use marblebarrow_cells::message::{CellError, CellReply, CellRequest};
 use marblebarrow_proto::ids::{CellName, JobId, MachineId, NodeId};
-use marblebarrow_proto::job::JobSpec;
+use marblebarrow_proto::job::{InvalidJob, JobSpec};
 use marblebarrow_proto::wire::{
     Command, Heartbeat, HeartbeatAnswer, Item, ItemPage, JobStatus, MachineList, MachineType,
     RentalRequest, Txn, WatchEvent,
@@ -22,11 +22,13 @@
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub struct OpId(pub u64);
 
-/// A validated user request.
+/// A user request.
 #[derive(Clone, Debug)]
 pub enum UserRequest {
     /// Submit a job.
     Submit(Box<JobSpec>),
+    /// Submit the job with this id; a field of its description is missing or invalid.
+    SubmitInvalid(JobId, InvalidJob),
     /// Query the status of a job.
     Poll(JobId),
     /// Cancel a job.
@@ -48,6 +50,8 @@
     RedirectTo(Option<NodeId>),
     /// The job doesn't exist.
     NotFound,
+    /// The submission is invalid, and its job was never accepted (400).
+    Invalid(InvalidJob),
     /// The job can never run, for this reason.
     NeverRuns(&'static str),
     /// The job names these DAG dependencies, which were never accepted (422).
--- a/crates/core/src/user_api.rs
+++ b/crates/core/src/user_api.rs
@@ -178,12 +178,26 @@
     ) {
         match req {
             UserRequest::Submit(spec) => self.submit(context, to, *spec, out),
+            UserRequest::SubmitInvalid(job, error) => {
+                self.submit_invalid(context, to, job, error, out);
+            }
             UserRequest::Poll(id) => self.poll(context, to, id, out),
             UserRequest::Cancel(id) => self.cancel(context, to, id, out),
             UserRequest::Health => {}
         }
     }
 
+    /// Counts a submission or cancellation as in progress, and returns true; or, if there are
+    /// already [`USER_WRITES_MAX`], tells the user to retry.
+    fn begin_write(&mut self, to: ReplyTo, out: &mut ActionSink) -> bool {
+        if self.writes >= USER_WRITES_MAX {
+            out.reply(to, Answer::Overloaded(RETRY_FULL_S));
+            return false;
+        }
+        self.writes += 1;
+        true
+    }
+
     /// Reads a job's final state from the store and remembers it.
     pub fn read_final_state(&mut self, id: JobId, out: &mut ActionSink) {
         self.read_end(id, DISCARD_REPLY, OnMissing::Retry, out);
--- a/crates/core/src/user_api/cancellations.rs
+++ b/crates/core/src/user_api/cancellations.rs
@@ -28,10 +28,9 @@
         if context.store_unavailable {
             return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
         }
-        if self.writes >= USER_WRITES_MAX {
-            return out.reply(to, Answer::Overloaded(RETRY_FULL_S));
+        if !self.begin_write(to, out) {
+            return;
         }
-        self.writes += 1;
         match context.replica.specs.get(&id) {
             Some((record, version)) => {
                 let record = record.clone();
--- a/crates/core/src/user_api/refusals.rs
+++ b/crates/core/src/user_api/refusals.rs
@@ -1,10 +1,10 @@
 //! Refusals of submissions.
 //!
-//! A refusal is final for the user, but its reasons are not: machine types, teams and the limits of
-//! the state service change. A job that was accepted before must not be refused for any of them, and
-//! this controller's memory doesn't show that a job was never accepted. So a refusal is sent only
-//! after the state service has confirmed that the job has neither a spec nor a final state;
-//! otherwise the user gets the state of the job.
+//! A refusal is final for the user, but its reasons are not: machine types, teams, the limits of
+//! the state service and what a version takes for valid change. A job that was accepted before must
+//! not be refused for any of them, and this controller's memory doesn't show that a job was never
+//! accepted. So a refusal is sent only after the state service has confirmed that the job has
+//! neither a spec nor a final state; otherwise the user gets the state of the job.
 
 use super::{Pending, RequestContext, UserApi};
 use crate::consts::RETRY_STORE_S;
--- a/crates/core/src/user_api/submissions.rs
+++ b/crates/core/src/user_api/submissions.rs
@@ -15,7 +15,7 @@
 use crate::record_shape::SizedValue;
 use marblebarrow_proto::cbor::to_value;
 use marblebarrow_proto::ids::JobId;
-use marblebarrow_proto::job::JobSpec;
+use marblebarrow_proto::job::{InvalidJob, JobSpec};
 use marblebarrow_proto::records::{EndRecord, SpecRecord, end_key, spec_key};
 use marblebarrow_proto::wire::{Condition, JobStatus, Stage, Txn, Write};
 
@@ -28,18 +28,8 @@
         spec: JobSpec,
         out: &mut ActionSink,
     ) {
-        if let Some(end) = self.terminal_states.get(&spec.id) {
-            return out.reply(to, Answer::Job(200, terminal_status(&spec.id, end)));
-        }
-        if self.cascaded(context).contains(&spec.id) {
-            return out.reply(to, Answer::Job(200, cancelled_status(spec.id)));
-        }
-        if context.store_unavailable || !context.replica.synced {
-            return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
-        }
-        if context.replica.specs.contains_key(&spec.id) {
-            // The job was accepted before, so it isn't refused even if the new spec is invalid.
-            return self.check_open(context, Poll { job: spec.id, to, since: context.now }, out);
+        if self.answered_from_memory(context, to, &spec.id, out) {
+            return;
         }
         let Some(types) = context.types else {
             return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
@@ -48,10 +38,9 @@
         if refused.is_none() && !spec.dependencies.is_empty() && !context.dependencies_allowed {
             return out.reply(to, Answer::Unavailable(RETRY_STORE_S));
         }
-        if self.writes >= USER_WRITES_MAX {
-            return out.reply(to, Answer::Overloaded(RETRY_FULL_S));
+        if !self.begin_write(to, out) {
+            return;
         }
-        self.writes += 1;
         if let Some(why) = refused {
             let answer = Answer::NeverRuns(why);
             return self.refuse(Refusal { job: spec.id, to, answer }, out);
@@ -62,6 +51,44 @@
         self.check_dependencies(context, to, spec, out);
     }
 
+    /// Handles a submission that is missing a field or has an invalid one, for the job with this id.
+    pub(super) fn submit_invalid(
+        &mut self,
+        context: &RequestContext<'_>,
+        to: ReplyTo,
+        job: JobId,
+        error: InvalidJob,
+        out: &mut ActionSink,
+    ) {
+        if !self.answered_from_memory(context, to, &job, out) && self.begin_write(to, out) {
+            self.refuse(Refusal { job, to, answer: Answer::Invalid(error) }, out);
+        }
+    }
+
+    /// Answers a submission without looking at the job's description, if the job is known here or
+    /// nothing can be decided now. Returns whether it did.
+    fn answered_from_memory(
+        &mut self,
+        context: &RequestContext<'_>,
+        to: ReplyTo,
+        job: &JobId,
+        out: &mut ActionSink,
+    ) -> bool {
+        if let Some(end) = self.terminal_states.get(job) {
+            out.reply(to, Answer::Job(200, terminal_status(job, end)));
+        } else if self.cascaded(context).contains(job) {
+            out.reply(to, Answer::Job(200, cancelled_status(job.clone())));
+        } else if context.store_unavailable || !context.replica.synced {
+            out.reply(to, Answer::Unavailable(RETRY_STORE_S));
+        } else if context.replica.specs.contains_key(job) {
+            // The job was accepted before, so it isn't refused even if the new spec is invalid.
+            self.check_open(context, Poll { job: job.clone(), to, since: context.now }, out);
+        } else {
+            return false;
+        }
+        true
+    }
+
     /// Sends the transaction that accepts a job: it writes the spec if the job has no record.
     pub(super) fn write_submission(
         &mut self,
--- a/crates/core/tests/user_api.rs
+++ b/crates/core/tests/user_api.rs
@@ -9,7 +9,7 @@
 use marblebarrow_core::user_api::{RequestContext, UserApi};
 use marblebarrow_proto::cbor::{json_len, to_value};
 use marblebarrow_proto::ids::{JobId, NodeId};
-use marblebarrow_proto::job::{JobSpec, Kind, Priority};
+use marblebarrow_proto::job::{InvalidJob, JobSpec, Kind, Priority};
 use marblebarrow_proto::records::{
     CASCADE_GENERATION_KEY, CascadeRecord, EndRecord, SpecRecord, cascade_key, end_key, spec_key,
 };
@@ -578,6 +578,20 @@
     }
 }
 
+/// Guards against 400 for an accepted job when its repeated submission is invalid to this version.
+#[test]
+fn an_accepted_job_is_not_refused_when_its_repeated_submission_is_invalid() {
+    let error = InvalidJob::Field("waits_on");
+    let request = |n| UserRequest::SubmitInvalid(id(n), error.clone());
+    let mut store = store_with_accepted_jobs();
+    for (n, expected) in (1..).zip(states_of_accepted_jobs()) {
+        let answer = ask(&mut UserApi::default(), &synced(), &mut store, request(n));
+        assert_eq!(answer, expected, "job {n}");
+    }
+    let never_accepted = ask(&mut UserApi::default(), &synced(), &mut store, request(4));
+    assert_eq!(never_accepted, Answer::Invalid(error));
+}
+
 /// Guards against a refusal, and against a lost submission slot, when the check that a job was
 /// never accepted gets no usable reply.
 #[test]
--- a/crates/proto/src/job.rs
+++ b/crates/proto/src/job.rs
@@ -137,7 +137,7 @@
 }
 
 /// The reason why a submission is invalid.
-#[derive(Debug, thiserror::Error, PartialEq)]
+#[derive(Clone, Debug, thiserror::Error, PartialEq)]
 pub enum InvalidJob {
     /// The body is not CBOR, or not a map.
     #[error("body is not a cbor map")]
@@ -190,6 +190,13 @@
         self.zone.is_some() || self.types.is_some() || !self.spot
     }
 
+    /// The job id in the body of a submission, if it is well-formed, whatever the other fields.
+    pub fn id_in(body: &[u8]) -> Option<JobId> {
+        let value: Value = cbor::decode(body).ok()?;
+        let id = Fields(value.as_map()?).text("ref").ok()?;
+        JobId::is_well_formed(&id).then(|| JobId::new(&id))
+    }
+
     /// Decodes and validates the body of a submission. Unknown fields are ignored.
     pub fn parse(body: &[u8]) -> Result<Self, InvalidJob> {
         let value: Value = cbor::decode(body).map_err(|_| InvalidJob::NotAMap)?;
--- a/crates/proto/src/tests/job.rs
+++ b/crates/proto/src/tests/job.rs
@@ -45,6 +45,19 @@
     assert_eq!(back, spec);
 }
 
+/// The id is found whatever the other fields, as long as it is well-formed itself.
+#[test]
+fn finds_the_id_of_an_invalid_submission() {
+    let with_id = |id: &str| {
+        let fields = vec![(Value::Text("ref".into()), Value::Text(id.into()))];
+        JobSpec::id_in(&cbor::encode(&Value::Map(fields)))
+    };
+    assert_eq!(with_id("req-000412"), Some(JobId::new("req-000412")));
+    assert_eq!(with_id("req-"), None);
+    assert_eq!(JobSpec::id_in(&cbor::encode(&Value::Map(vec![]))), None);
+    assert_eq!(JobSpec::id_in(b"\xff\x00"), None);
+}
+
 #[test]
 fn rejects_each_missing_or_invalid_field() {
     for (i, (name, _)) in example().iter().enumerate() {
@@ -79,6 +92,7 @@
     #[test]
     fn arbitrary_bytes_never_panic(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let _ = JobSpec::parse(&bytes);
+        let _ = JobSpec::id_in(&bytes);
     }
 
     #[test]
--- a/src/event_queue.rs
+++ b/src/event_queue.rs
@@ -33,7 +33,9 @@
     fn queue_limit(&self) -> usize {
         match self {
             Self::Heartbeat(_) | Self::User(UserRequest::Health) | Self::Members => EVENT_QUEUE_LEN,
-            Self::User(UserRequest::Submit(_)) => QUEUE_LEN_FOR_SUBMISSIONS,
+            Self::User(UserRequest::Submit(_) | UserRequest::SubmitInvalid(..)) => {
+                QUEUE_LEN_FOR_SUBMISSIONS
+            }
             Self::User(UserRequest::Poll(_) | UserRequest::Cancel(_)) => QUEUE_LEN_FOR_POLLS,
         }
     }
--- a/src/server/response.rs
+++ b/src/server/response.rs
@@ -47,6 +47,7 @@
             Answer::Heartbeat(heartbeat) => Self::with_body(200, &heartbeat),
             Answer::RedirectTo(node) => Self::misdirected(node.map(|n| n.to_string())),
             Answer::NotFound => Self::error(404, "no such job"),
+            Answer::Invalid(error) => Self::error(400, &error.to_string()),
             Answer::NeverRuns(reason) => Self::error(422, reason),
             Answer::UnknownDependencies(waits_on) => Self::unknown_dependencies(waits_on),
             Answer::Overloaded(seconds) => Self::retry_later(429, seconds, "too much is asked"),
--- a/src/server/user_routes.rs
+++ b/src/server/user_routes.rs
@@ -20,11 +20,17 @@
     }
 }
 
+/// A submission for the core. One that is invalid goes there too if it names a job, which may have
+/// been accepted before.
 fn submission(body: &[u8]) -> Result<ClientRequest, Response> {
-    match JobSpec::parse(body) {
-        Ok(spec) => Ok(ClientRequest::User(UserRequest::Submit(Box::new(spec)))),
-        Err(error) => Err(Response::error(400, &error.to_string())),
-    }
+    let request = match JobSpec::parse(body) {
+        Ok(spec) => UserRequest::Submit(Box::new(spec)),
+        Err(error) => match JobSpec::id_in(body) {
+            Some(id) => UserRequest::SubmitInvalid(id, error),
+            None => return Err(Response::error(400, &error.to_string())),
+        },
+    };
+    Ok(ClientRequest::User(request))
 }
 
 fn job_request(method: &str, job_path: &str) -> Result<ClientRequest, Response> {
--- a/tests/binary.rs
+++ b/tests/binary.rs
@@ -7,6 +7,7 @@
 use marblebarrow_proto::cbor;
 use marblebarrow_proto::ids::JobId;
 use stand_in::{Cluster, Plan, WorkerTimes, job_body};
+use std::path::Path;
 use std::process::Command;
 
 #[test]
@@ -125,6 +126,26 @@
     assert_eq!(cluster.broken(), Vec::<String>::new());
 }
 
+/// Guards against 400 for a job that was accepted, running or done, when a version that takes the
+/// fields of its submission for invalid gets it again.
+#[test]
+fn an_accepted_job_is_not_refused_when_its_repeated_submission_is_invalid() {
+    let mut cluster = Cluster::start(3);
+    cluster.submit("req-000014", "sweep", 1);
+    let repeated = |cluster: &Cluster, i: usize, job: &str| {
+        cluster.call_one(i, "POST", "/api/jobs", &job_body(job, "sweep", 0)).0
+    };
+    assert_eq!(repeated(&cluster, 0, "req-000014"), 200);
+    cluster.until("req-000014", "done");
+    // A controller that has restarted knows neither the spec nor the final state.
+    cluster.replace(0, Path::new(env!("CARGO_BIN_EXE_marblebarrow")));
+    for i in 0..3 {
+        assert_eq!(repeated(&cluster, i, "req-000014"), 200, "controller {i}");
+        assert_eq!(repeated(&cluster, i, "req-000016"), 400, "controller {i}");
+    }
+    assert_eq!(cluster.broken(), Vec::<String>::new());
+}
+
 /// Opens more connections than the controller has sockets (500): idle ones, ones stuck within
 /// the header or the body, and ones with bodies over the limit. Memory and threads must stay far
 /// below what the settings allow (100 MB; a quarter of the sockets and a dozen), and jobs must
--- a/tests/stand_in/cluster.rs
+++ b/tests/stand_in/cluster.rs
@@ -127,13 +127,26 @@
     /// Sends a request to the running controllers in turn until one responds with a status other
     /// than 429 or 503.
     pub fn call(&self, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        let running = (0..self.nodes.len()).filter(|i| self.children[*i].is_some());
+        self.call_any(&running.collect::<Vec<_>>(), method, path, body)
+    }
+
+    /// Sends a request to controller `i` until it responds with a status other than 429 or 503.
+    pub fn call_one(&self, i: usize, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        self.call_any(&[i], method, path, body)
+    }
+
+    fn call_any(
+        &self,
+        controllers: &[usize],
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> (u16, Vec<u8>) {
         let end = Instant::now() + TIMEOUT;
         while Instant::now() < end {
-            for (i, node) in self.nodes.iter().enumerate() {
-                if self.children[i].is_none() {
-                    continue;
-                }
-                match request(node, method, path, body, Duration::from_secs(5)) {
+            for i in controllers {
+                match request(&self.nodes[*i], method, path, body, Duration::from_secs(5)) {
                     Some((429 | 503, _)) | None => {}
                     Some(answer) => return answer,
                 }
