Offer a job to another cell only if its record can hold the transfer

What happened (simulated; no deployment has shown it): in a cell whose state service lowers its value limit as announced, the leader went on recording offers of jobs whose record exceeds the limit with the transfer in it, and got 400 at every look at the waiting jobs.

Mend: begin_transfer compares the largest form of the record with the writer's limits, and the job stays with the reason record_too_large. Jobs behind it are offered as before.

--- a/crates/cells/src/stay.rs
+++ b/crates/cells/src/stay.rs
@@ -24,6 +24,8 @@
     TransfersAtLimit,
     /// No other cell reports room for the job.
     NoCellWithRoom,
+    /// The job's record, with a transfer in it, would exceed the state service's value limit.
+    RecordTooLarge,
     /// The state service's write rate allows no change for the job now.
     StoreRate,
 }
@@ -41,6 +43,7 @@
             Self::RentingMayHelp => "renting_may_help",
             Self::TransfersAtLimit => "transfers_at_limit",
             Self::NoCellWithRoom => "no_cell_with_room",
+            Self::RecordTooLarge => "record_too_large",
             Self::StoreRate => "store_rate",
         }
     }
--- a/crates/core/src/cells/home.rs
+++ b/crates/core/src/cells/home.rs
@@ -15,7 +15,7 @@
 use marblebarrow_proto::ids::{CellName, JobId};
 use marblebarrow_proto::job::JobSpec;
 use marblebarrow_proto::records::{EndRecord, SpecRecord, end_key, progress_key, spec_key};
-use marblebarrow_proto::transfer::ForwardRecord;
+use marblebarrow_proto::transfer::{ForwardRecord, TransferId};
 use marblebarrow_proto::wire::Txn;
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
@@ -130,6 +130,7 @@
                 StayReason::NoCellWithRoom => {
                     without_room.insert(request);
                 }
+                StayReason::RecordTooLarge => {}
                 reason => reason_for_all = Some(reason),
             }
             staying.push((id, reason));
@@ -150,6 +151,9 @@
             return Err(StayReason::NoCellWithRoom);
         };
         let target = self.choose_cell(now, &record.spec, replica)?;
+        if !self.transfer_fits(&record, &target) {
+            return Err(StayReason::RecordTooLarge);
+        }
         if !self.writer.afford(INTENT_CHANGES) {
             return Err(StayReason::StoreRate);
         }
@@ -174,6 +178,18 @@
         Ok(())
     }
 
+    /// Whether the job's record fits a value of the state service throughout a transfer, whatever
+    /// the other cell answers. Otherwise the offer or its verdict could not be recorded.
+    fn transfer_fits(&self, record: &SpecRecord, target: &CellName) -> bool {
+        let Some(cells) = &self.cells else { return false };
+        let home = cells.settings.name.clone();
+        let transfer = TransferId { home, term: self.term.0, number: u32::MAX };
+        let mut largest = record.clone();
+        largest.forward = Some(ForwardRecord { transfer, target: target.clone(), accepted: false });
+        largest.refusals = u32::MAX;
+        self.writer.record_fits(&largest)
+    }
+
     fn choose_cell(
         &mut self,
         now: Secs,
--- a/crates/core/src/writer/mod.rs
+++ b/crates/core/src/writer/mod.rs
@@ -10,11 +10,12 @@
 use crate::event::{OpId, Secs};
 use crate::facts::Facts;
 use crate::fleet::Machine;
-use crate::record_shape::{ProgressSets, ShapeLimits, TransactionShape};
+use crate::record_shape::{ProgressSets, ShapeLimits, SizedValue, TransactionShape};
 use marblebarrow_proto::ids::{JobId, MachineId};
 use marblebarrow_proto::records::{
     COMMON_FORMAT_KEY, MACHINE_TYPES_KEY, PART_TASKS, block_key, end_key, progress_key, spec_key,
 };
+use serde::Serialize;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use uncertain::UncertainRecords;
 
@@ -195,6 +196,11 @@
         limit.min(self.limits.changes).min(self.budget.max(0.0) as usize)
     }
 
+    /// Whether a record fits a value of the state service.
+    pub(crate) fn record_fits(&self, record: &impl Serialize) -> bool {
+        SizedValue::of(record).bytes <= self.limits.record_bytes()
+    }
+
     /// Whether the rate limit allows this many further changes; if so, they are deducted.
     pub(crate) fn afford(&mut self, changes: f64) -> bool {
         let affordable = self.may_afford(changes);
--- a/crates/rehearsal/tests/cells.rs
+++ b/crates/rehearsal/tests/cells.rs
@@ -4,7 +4,7 @@
 
 use marblebarrow_rehearsal::fleet_of_cells::{CellFault, FleetOfCells, Plan};
 use marblebarrow_rehearsal::scenario::{Outcome, Scenario};
-use marblebarrow_rehearsal::world::Fault;
+use marblebarrow_rehearsal::world::{Fault, StoreLimits};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -81,6 +81,36 @@
     assert!(moved >= 170 && refused >= 100, "{moved} moved, {refused} refused");
 }
 
+/// Guards against transfers whose record exceeds the announced value limit of the home cell's state
+/// service: once the limit applies it rejects them, each job's twice a second.
+#[test]
+fn jobs_whose_transfer_would_exceed_the_value_limit_end_at_home() {
+    const LOWERED_AT: u32 = 150;
+    // Answers to offers from before the limit is lowered arrive after it.
+    let cut_from = |cell| (LOWERED_AT - 10, CellFault::Cut(cell, 0, 30));
+    for seed in 0..8 {
+        let plan = Plan {
+            paces: vec![7, 60, 60],
+            patience_s: 1.0,
+            faults: vec![cut_from(1), cut_from(2)],
+            ..Plan::one_full(seed)
+        };
+        let mut fleet = FleetOfCells::new(&plan);
+        fleet.cells[0].large_specs_until = LOWERED_AT;
+        fleet.cells[0].store_limits = Some(StoreLimits {
+            requests_per_s: 100.0,
+            changes_per_s: 30.0,
+            changes_per_transaction: 5,
+            value_bytes: 1024,
+            announced: true,
+            from: LOWERED_AT,
+        });
+        fleet.run(FleetOfCells::steps_of(&plan));
+        assert_eq!(fleet.violations, Vec::<String>::new(), "seed {seed}");
+        assert!(fleet.observed.moved >= 3, "seed {seed}: {} moved", fleet.observed.moved);
+    }
+}
+
 /// A cell without machines gets jobs faster than the others can take them, so that its offers are
 /// refused many times. Guards against a fault in which a job was never offered again after six
 /// refusals and waited forever: 15 of these 1,000 jobs.
