Make rejected checks behind polls and dependencies smaller

A check fills the conditions that the settings allow; its rejection was answered 503, and the next check was as large. The leader's records adapt to rejections, these didn't.

Mend: ConditionLimit halves the number of conditions after a rejection, down to that of a transaction of MIN_TXN_CHANGES, and the same polls or dependencies are checked again. A rejected check of that size gets 503 as before.

--- a/crates/core/src/dependency_check.rs
+++ b/crates/core/src/dependency_check.rs
@@ -84,6 +84,11 @@
     Txn { conditions: keys.map(|key| Condition { key, version: 0 }).collect(), writes: Vec::new() }
 }
 
+/// Number of dependencies that a check with this many conditions covers.
+fn max_per_check(max_conditions: usize) -> usize {
+    (max_conditions / CONDS_PER_DEPENDENCY).max(1)
+}
+
 impl DependencyCheck {
     /// Starts a check whose transactions have at most `max_conditions` conditions. `known`
     /// returns what is known of a dependency without the store.
@@ -101,7 +106,7 @@
             final_states_to_read: Vec::new(),
             unknown: Vec::new(),
             cancelled_dependency,
-            max_per_check: (max_conditions / CONDS_PER_DEPENDENCY).max(1),
+            max_per_check: max_per_check(max_conditions),
             spec,
             to,
         }
@@ -137,6 +142,15 @@
         Ok(())
     }
 
+    /// Returns a batch whose transaction was rejected, to be checked in transactions of at most
+    /// `max_conditions` conditions.
+    pub(crate) fn repeat(&mut self, batch: Vec<JobId>, max_conditions: usize) {
+        self.max_per_check = self.max_per_check.min(max_per_check(max_conditions));
+        for dependency in batch.into_iter().rev() {
+            self.unproven.push_front(dependency);
+        }
+    }
+
     /// Handles a conflict, which shows that some job of the batch exists. The store may name
     /// only some of the failed conditions.
     fn absence_conflict(&mut self, batch: &[JobId], failed_keys: &[String]) {
--- a/crates/core/src/user_api.rs
+++ b/crates/core/src/user_api.rs
@@ -32,19 +32,21 @@
 
 mod cancellations;
 mod cascade_reads;
+mod condition_limit;
 mod polls;
 mod refusals;
 mod submissions;
 
 use cascade_reads::CascadeReads;
-use polls::{CheckedPoll, Poll};
+use condition_limit::ConditionLimit;
+use polls::{Poll, SharedCheck};
 use refusals::Refusal;
 
 /// What a store request in flight is for.
 #[derive(Debug)]
 enum Pending {
-    /// A check transaction shared by these polls.
-    Check(Vec<CheckedPoll>),
+    /// A check transaction shared by several polls.
+    Check(SharedCheck),
     /// The read of a page of the cascade lists.
     CascadePage,
     /// A check that an accepted job neither has a final state nor is cancelled by a cascade.
@@ -97,6 +99,8 @@
     /// Polls that wait for the next check.
     polls: VecDeque<Poll>,
     check_in_flight: bool,
+    /// Maximum number of conditions in a check transaction.
+    condition_limit: ConditionLimit,
     /// Earliest time of the next check.
     next_check: Secs,
     /// Cascade lists read from the store when the watch is too slow to deliver them.
@@ -225,16 +229,13 @@
             return false;
         };
         match pending {
-            Pending::Check(asked) => self.polls_checked(context, asked, result, out),
+            Pending::Check(check) => self.polls_checked(context, check, result, out),
             // The user retries the cancellation, whatever the result.
             Pending::CancelWanted => {}
             Pending::CascadePage => self.cascade_page_read(context, result, out),
             Pending::OpenCheck(poll) => self.open_checked(context, poll, result, out),
-            Pending::DependencyCheck(mut check, batch) => {
-                match check.absence_answered(batch, result) {
-                    Ok(()) => self.advance(context, check, out),
-                    Err(_) => self.fail_dependency_check(check.to, out),
-                }
+            Pending::DependencyCheck(check, batch) => {
+                self.dependencies_checked(context, check, batch, result, out);
             }
             Pending::DependencyEnd(mut check, dependency) => match check.final_state_read(result) {
                 Ok(final_state) => {
@@ -317,6 +318,19 @@
         true
     }
 
+    /// Lowers the limit on conditions after a check with this many was rejected. Returns false if
+    /// the rejection has another reason.
+    fn lower_condition_limit(&mut self, context: &RequestContext<'_>, conditions: usize) -> bool {
+        let lowered = self.condition_limit.lower(conditions);
+        if lowered {
+            let limit = self.condition_limit.get(context.facts);
+            self.log.info(context.now, || {
+                format!("event=check_rejected conditions={conditions} now_conditions={limit}")
+            });
+        }
+        lowered
+    }
+
     /// Returns the cancellations confirmed since the last call, with their revisions.
     pub fn take_confirmed(&mut self) -> Vec<(JobId, u64)> {
         std::mem::take(&mut self.confirmed)
--- a/crates/core/src/user_api/polls.rs
+++ b/crates/core/src/user_api/polls.rs
@@ -31,6 +31,14 @@
     known: bool,
 }
 
+/// The check in flight that these polls share.
+#[derive(Debug)]
+pub(super) struct SharedCheck {
+    polls: Vec<CheckedPoll>,
+    /// Number of its conditions.
+    conditions: usize,
+}
+
 impl UserApi {
     pub(super) fn poll(
         &mut self,
@@ -74,7 +82,7 @@
         let nodes = (context.facts.others.len() + 1) as f64;
         self.next_check =
             context.now + nodes / (context.facts.store_rps * POLL_CHECK_SHARE).max(0.1);
-        let limit = context.facts.store_txn_ops * CONDS_PER_OP;
+        let limit = self.condition_limit.get(context.facts);
         let mut keys: BTreeSet<String> = BTreeSet::new();
         let mut asked = Vec::new();
         while let Some(poll) = self.polls.pop_front() {
@@ -100,9 +108,10 @@
         let mut conditions: Vec<Condition> =
             keys.into_iter().map(|key| Condition { key, version: 0 }).collect();
         conditions.push(self.generation_condition(context));
+        let check = SharedCheck { polls: asked, conditions: conditions.len() };
         let op = out.store(StoreRequest::Commit(Txn { conditions, writes: Vec::new() }));
         self.check_in_flight = true;
-        self.pending.insert(op, Pending::Check(asked));
+        self.pending.insert(op, Pending::Check(check));
     }
 
     /// Asks the store to prove that an accepted job has no final state and is not cancelled by
@@ -194,12 +203,17 @@
     pub(super) fn polls_checked(
         &mut self,
         context: &RequestContext<'_>,
-        asked: Vec<CheckedPoll>,
+        SharedCheck { polls: asked, conditions }: SharedCheck,
         result: &StoreResult,
         out: &mut ActionSink,
     ) {
         self.check_in_flight = false;
         match result {
+            // Fewer polls share the next checks.
+            StoreResult::Rejected if self.lower_condition_limit(context, conditions) => {
+                self.polls.extend(asked.into_iter().map(|checked| checked.poll));
+                self.check(context, out);
+            }
             StoreResult::Committed(_) => {
                 for CheckedPoll { poll, known } in asked {
                     if known || context.replica.specs.contains_key(&poll.job) {
--- a/crates/core/src/user_api/submissions.rs
+++ b/crates/core/src/user_api/submissions.rs
@@ -161,7 +161,7 @@
         spec: JobSpec,
         out: &mut ActionSink,
     ) {
-        let limit = context.facts.store_txn_ops * CONDS_PER_OP;
+        let limit = self.condition_limit.get(context.facts);
         let known = |dependency: &JobId| self.known_dependency(context, dependency);
         let check = Box::new(DependencyCheck::new(spec, to, limit, known));
         self.advance(context, check, out);
@@ -213,6 +213,28 @@
         }
     }
 
+    /// Handles the reply to a transaction that checks whether a batch of dependencies was accepted.
+    pub(super) fn dependencies_checked(
+        &mut self,
+        context: &RequestContext<'_>,
+        mut check: Box<DependencyCheck>,
+        batch: Vec<JobId>,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        let conditions = batch.len() * CONDS_PER_DEPENDENCY;
+        if matches!(result, StoreResult::Rejected)
+            && self.lower_condition_limit(context, conditions)
+        {
+            check.repeat(batch, self.condition_limit.get(context.facts));
+            return self.advance(context, check, out);
+        }
+        match check.absence_answered(batch, result) {
+            Ok(()) => self.advance(context, check, out),
+            Err(_) => self.fail_dependency_check(check.to, out),
+        }
+    }
+
     /// Ends a dependency check for which the store gave no usable reply; the user has to retry.
     pub(super) fn fail_dependency_check(&mut self, to: ReplyTo, out: &mut ActionSink) {
         self.writes -= 1;
--- a/crates/core/tests/cluster/store_limits.rs
+++ b/crates/core/tests/cluster/store_limits.rs
@@ -101,3 +101,21 @@
         }
     }
 }
+
+/// Guards against polls of many open jobs that go unanswered once their check has more conditions
+/// than the state service takes.
+#[test]
+fn polls_are_answered_after_the_transaction_limit_is_lowered() {
+    for announced in [true, false] {
+        for seed in 0..4 {
+            let mut world = lowered_limits_world(seed, announced, &[]);
+            // Services that nobody cancels: 85 of them are open in the end.
+            (world.max_tasks, world.replicas) = (2, 2);
+            world.submission_interval_and_end = (5, 850);
+            world.poll_every = 10;
+            world.run(2_000);
+            let run = format!("seed {seed}, announced {announced}");
+            assert_eq!(world.violations, Vec::<String>::new(), "{run}");
+        }
+    }
+}
--- a/crates/core/tests/user_api.rs
+++ b/crates/core/tests/user_api.rs
@@ -13,7 +13,7 @@
 use marblebarrow_proto::records::{
     CASCADE_GENERATION_KEY, CascadeRecord, EndRecord, SpecRecord, cascade_key, end_key, spec_key,
 };
-use marblebarrow_proto::wire::{Item, JobStatus, MachineType, Stage, Write};
+use marblebarrow_proto::wire::{Item, JobStatus, MachineType, Stage, Txn, Write};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -275,9 +275,20 @@
     api: &mut UserApi,
     replica: &Replica,
     request: UserRequest,
+    store: impl FnMut(StoreRequest) -> StoreResult,
+) -> Answer {
+    ask_with_settings(api, replica, Facts { store_txn_ops: 1, ..facts() }, request, store)
+}
+
+/// As [`ask_with`], at a controller with these settings.
+fn ask_with_settings(
+    api: &mut UserApi,
+    replica: &Replica,
+    facts: Facts,
+    request: UserRequest,
     mut store: impl FnMut(StoreRequest) -> StoreResult,
 ) -> Answer {
-    let (facts, types) = (Facts { store_txn_ops: 1, ..facts() }, [machine_type()]);
+    let types = [machine_type()];
     let context = RequestContext {
         now: 0.0,
         wall_ms: 0,
@@ -612,3 +623,39 @@
         assert!(matches!(answer, Answer::NeverRuns(_)), "{answer:?}");
     }
 }
+
+/// Guards against 503 without end for jobs with many dependencies once the state service takes
+/// fewer conditions than the settings say.
+#[test]
+fn dependencies_are_checked_within_a_lowered_transaction_limit() {
+    const CONDITIONS_TAKEN: usize = 20;
+    let dependencies: Vec<u32> = (1..=30).collect();
+    let accepted = |n: &u32| item(spec_key(&id(*n)), to_value(&SpecRecord::submitted(job(*n), 0)));
+    let mut store: Store = dependencies.iter().map(accepted).collect();
+    let mut rejections = 0;
+    let answer = ask_with_settings(
+        &mut UserApi::default(),
+        &synced(),
+        facts(),
+        submit(99, &dependencies),
+        |asked| match &asked {
+            StoreRequest::Commit(txn) if txn.conditions.len() > CONDITIONS_TAKEN => {
+                rejections += 1;
+                StoreResult::Rejected
+            }
+            StoreRequest::Commit(txn) => conflict_naming_all(&store, txn)
+                .unwrap_or_else(|| simulate_store(&mut store, asked)),
+            _ => simulate_store(&mut store, asked),
+        },
+    );
+    assert_eq!(answer, reply(201, 99, Stage::Queued, vec![]));
+    assert!((1..=3).contains(&rejections), "{rejections} checks rejected");
+}
+
+/// The conflict of a transaction, which names all conditions that failed; `None` if all hold.
+fn conflict_naming_all(store: &Store, txn: &Txn) -> Option<StoreResult> {
+    let version = |key: &String| store.get(key).map_or(0, |item| item.version);
+    let failed = txn.conditions.iter().filter(|c| version(&c.key) != c.version);
+    let failed: Vec<String> = failed.map(|c| c.key.clone()).collect();
+    (!failed.is_empty()).then_some(StoreResult::Conflict(failed))
+}
