User API: handling of store replies in the module of its request

handle_store_result held the outcomes of eight kinds of request; each now stands beside the code that sends the request, and final states, read and remembered, have a module. The conditions that a job has no record come from absence_transaction in all three places.

--- a/crates/core/src/user_api.rs
+++ b/crates/core/src/user_api.rs
@@ -15,30 +15,28 @@
 //! these jobs is proven accepted; see [`crate::dependency_check`].
 
 use crate::consts::*;
-use crate::dependency_check::{DependencyCheck, FinalState};
-use crate::event::{
-    ActionSink, Answer, DISCARD_REPLY, OpId, ReplyTo, Secs, StoreRequest, StoreResult, TaskCounts,
-    UserRequest,
-};
+use crate::dependency_check::DependencyCheck;
+use crate::event::{ActionSink, Answer, OpId, ReplyTo, Secs, StoreResult, TaskCounts, UserRequest};
 use crate::facts::Facts;
 use crate::log::Log;
 use crate::replica::Replica;
-use marblebarrow_proto::cbor::from_value;
 use marblebarrow_proto::ids::JobId;
 use marblebarrow_proto::job::{JobSpec, Kind};
-use marblebarrow_proto::records::{EndRecord, SpecRecord, end_key};
+use marblebarrow_proto::records::EndRecord;
 use marblebarrow_proto::wire::{JobStatus, MachineType, Stage};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 mod cancellations;
 mod cascade_reads;
 mod condition_limit;
+mod final_states;
 mod polls;
 mod refusals;
 mod submissions;
 
 use cascade_reads::CascadeReads;
 use condition_limit::ConditionLimit;
+use final_states::OnMissing;
 use polls::{Poll, SharedCheck};
 use refusals::Refusal;
 
@@ -81,16 +79,6 @@
     record_bytes: usize,
 }
 
-/// What a user is told if a job has no final state.
-#[derive(Debug, Clone, Copy)]
-enum OnMissing {
-    /// That the job isn't found: there was no spec either, and the final state is written no
-    /// later than in the transaction that removes the spec, so the job never existed.
-    NotFound,
-    /// To retry the request, as nothing is proven.
-    Retry,
-}
-
 /// The user API of a controller: pending requests, polls and remembered final states.
 #[derive(Debug, Default)]
 pub struct UserApi {
@@ -202,21 +190,6 @@
         true
     }
 
-    /// Reads a job's final state from the store and remembers it.
-    pub fn read_final_state(&mut self, id: JobId, out: &mut ActionSink) {
-        self.read_end(id, DISCARD_REPLY, OnMissing::Retry, out);
-    }
-
-    /// The remembered final state of a job, which is confirmed to be in the store.
-    pub fn terminal_state(&self, id: &JobId) -> Option<&EndRecord> {
-        self.terminal_states.get(id)
-    }
-
-    fn read_end(&mut self, id: JobId, to: ReplyTo, on_missing: OnMissing, out: &mut ActionSink) {
-        let op = out.store(StoreRequest::Get(end_key(&id)));
-        self.pending.insert(op, Pending::End(id, to, on_missing));
-    }
-
     /// Handles a store reply if it belongs to a request of the user API. Returns whether it did.
     pub fn handle_store_result(
         &mut self,
@@ -237,83 +210,19 @@
             Pending::DependencyCheck(check, batch) => {
                 self.dependencies_checked(context, check, batch, result, out);
             }
-            Pending::DependencyEnd(mut check, dependency) => match check.final_state_read(result) {
-                Ok(final_state) => {
-                    if let Some(FinalState { end, version }) = final_state {
-                        if end.cancelled {
-                            // From now on, users may get this answer from memory.
-                            self.confirmed.push((dependency.clone(), version));
-                        }
-                        self.remember(&dependency, end);
-                    }
-                    self.advance(context, check, out);
-                }
-                Err(_) => self.fail_dependency_check(check.to, out),
-            },
+            Pending::DependencyEnd(check, dependency) => {
+                self.dependency_end_read(context, check, &dependency, result, out);
+            }
             Pending::SubmitCancelled(id, to, tasks) => {
-                self.writes -= 1;
-                match result {
-                    StoreResult::Committed(revision) => {
-                        let end = EndRecord { cancelled: true, tasks };
-                        self.confirmed.push((id.clone(), *revision));
-                        self.remember(&id, end.clone());
-                        out.reply(to, Answer::Job(201, terminal_status(&id, &end)));
-                    }
-                    // Accepted before, and perhaps ended since.
-                    StoreResult::Conflict(keys) => self.resubmitted(context, id, to, keys, out),
-                    _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
-                }
+                self.cancelled_submission_written(context, id, to, tasks, result, out);
             }
             Pending::Submit(submission) => {
                 self.submission_written(context, submission, result, out);
             }
             Pending::Refusal(refusal) => self.refusal_checked(context, refusal, result, out),
-            Pending::CancelRead(id, to) => match result {
-                StoreResult::Value(Some(item)) => match from_value::<SpecRecord>(&item.value) {
-                    Ok(record) => {
-                        self.cancel_known(id, to, &record, item.version, false, out);
-                    }
-                    Err(_) => self.write_cancel(id, to, item.version, 0, out),
-                },
-                StoreResult::Value(None) => {
-                    self.writes -= 1;
-                    self.read_end(id, to, OnMissing::NotFound, out);
-                }
-                _ => {
-                    self.writes -= 1;
-                    out.reply(to, Answer::Unavailable(RETRY_STORE_S));
-                }
-            },
-            Pending::Cancel(id, to, tasks) => {
-                self.writes -= 1;
-                match result {
-                    StoreResult::Committed(revision) => {
-                        let end = EndRecord { cancelled: true, tasks };
-                        self.confirmed.push((id.clone(), *revision));
-                        self.remember(&id, end.clone());
-                        out.reply(to, Answer::Job(200, terminal_status(&id, &end)));
-                    }
-                    StoreResult::Conflict(_) => self.read_end(id, to, OnMissing::Retry, out),
-                    _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
-                }
-            }
-            Pending::End(id, to, on_missing) => match result {
-                StoreResult::Value(Some(item)) => match from_value::<EndRecord>(&item.value) {
-                    Ok(end) => {
-                        if end.cancelled {
-                            self.confirmed.push((id.clone(), item.version));
-                        }
-                        self.remember(&id, end.clone());
-                        out.reply(to, Answer::Job(200, terminal_status(&id, &end)));
-                    }
-                    Err(_) => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
-                },
-                StoreResult::Value(None) => match on_missing {
-                    OnMissing::NotFound => out.reply(to, Answer::NotFound),
-                    OnMissing::Retry => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
-                },
-                _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
-            },
+            Pending::CancelRead(id, to) => self.cancelled_job_read(id, to, result, out),
+            Pending::Cancel(id, to, tasks) => self.cancel_written(id, to, tasks, result, out),
+            Pending::End(id, to, on_missing) => self.end_read(id, to, on_missing, result, out),
         }
         true
     }
@@ -330,25 +239,6 @@
         }
         lowered
     }
-
-    /// Returns the cancellations confirmed since the last call, with their revisions.
-    pub fn take_confirmed(&mut self) -> Vec<(JobId, u64)> {
-        std::mem::take(&mut self.confirmed)
-    }
-
-    /// Remembers a final state that is confirmed to be in the store. Of more than
-    /// [`FINALS_KEPT`], the oldest is dropped.
-    pub fn remember(&mut self, id: &JobId, end: EndRecord) {
-        self.progress.remove(id);
-        if self.terminal_states.insert(id.clone(), end).is_none() {
-            self.terminal_order.push_back(id.clone());
-            if self.terminal_order.len() > FINALS_KEPT
-                && let Some(old) = self.terminal_order.pop_front()
-            {
-                self.terminal_states.remove(&old);
-            }
-        }
-    }
 }
 
 fn terminal_status(id: &JobId, end: &EndRecord) -> JobStatus {
--- a/crates/core/src/user_api/cancellations.rs
+++ b/crates/core/src/user_api/cancellations.rs
@@ -1,9 +1,10 @@
 //! Cancellations: recorded in this cell's store, or requested from the cell that owns the job.
 
+use super::final_states::OnMissing;
 use super::{Pending, RequestContext, UserApi, cancelled_status, terminal_status};
 use crate::consts::*;
-use crate::event::{ActionSink, Answer, ReplyTo, StoreRequest};
-use marblebarrow_proto::cbor::to_value;
+use crate::event::{ActionSink, Answer, ReplyTo, StoreRequest, StoreResult};
+use marblebarrow_proto::cbor::{from_value, to_value};
 use marblebarrow_proto::ids::JobId;
 use marblebarrow_proto::records::{EndRecord, SpecRecord, cancel_key, end_key, spec_key};
 use marblebarrow_proto::transfer::cancel_wanted_key;
@@ -107,4 +108,49 @@
         let op = out.store(StoreRequest::Commit(txn));
         self.pending.insert(op, Pending::Cancel(id, to, tasks));
     }
+
+    /// Handles the reply to the read of the spec of a job to be cancelled.
+    pub(super) fn cancelled_job_read(
+        &mut self,
+        id: JobId,
+        to: ReplyTo,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        match result {
+            StoreResult::Value(Some(item)) => match from_value::<SpecRecord>(&item.value) {
+                Ok(record) => self.cancel_known(id, to, &record, item.version, false, out),
+                Err(_) => self.write_cancel(id, to, item.version, 0, out),
+            },
+            StoreResult::Value(None) => {
+                self.writes -= 1;
+                self.read_end(id, to, OnMissing::NotFound, out);
+            }
+            _ => {
+                self.writes -= 1;
+                out.reply(to, Answer::Unavailable(RETRY_STORE_S));
+            }
+        }
+    }
+
+    /// Handles the outcome of the transaction that cancels a job of this many tasks.
+    pub(super) fn cancel_written(
+        &mut self,
+        id: JobId,
+        to: ReplyTo,
+        tasks: u32,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        self.writes -= 1;
+        match result {
+            StoreResult::Committed(revision) => {
+                let end = EndRecord { cancelled: true, tasks };
+                out.reply(to, Answer::Job(200, terminal_status(&id, &end)));
+                self.remember_version(&id, end, *revision);
+            }
+            StoreResult::Conflict(_) => self.read_end(id, to, OnMissing::Retry, out),
+            _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
+        }
+    }
 }
--- a/crates/core/src/user_api/polls.rs
+++ b/crates/core/src/user_api/polls.rs
@@ -5,7 +5,8 @@
 //! copy of the cascade lists doesn't contain it, and no list was added since that copy; see
 //! [`crate::cascaded_jobs`].
 
-use super::{OnMissing, Pending, RequestContext, UserApi, cancelled_status, terminal_status};
+use super::final_states::OnMissing;
+use super::{Pending, RequestContext, UserApi, cancelled_status, terminal_status};
 use crate::consts::*;
 use crate::event::{ActionSink, Answer, ReplyTo, Secs, StoreRequest, StoreResult, TaskCounts};
 use marblebarrow_proto::ids::JobId;
--- a/crates/core/src/user_api/submissions.rs
+++ b/crates/core/src/user_api/submissions.rs
@@ -9,7 +9,7 @@
 };
 use crate::consts::*;
 use crate::dependency_check::{
-    DependencyCheck, DependencyStep, KnownDependency, absence_transaction,
+    DependencyCheck, DependencyStep, FinalState, KnownDependency, absence_transaction,
 };
 use crate::event::{ActionSink, Answer, ReplyTo, StoreRequest, StoreResult};
 use crate::record_shape::SizedValue;
@@ -17,7 +17,8 @@
 use marblebarrow_proto::ids::JobId;
 use marblebarrow_proto::job::{InvalidJob, JobSpec};
 use marblebarrow_proto::records::{EndRecord, SpecRecord, end_key, spec_key};
-use marblebarrow_proto::wire::{Condition, JobStatus, Stage, Txn, Write};
+use marblebarrow_proto::wire::{JobStatus, Stage, Write};
+use std::slice;
 
 impl UserApi {
     /// Handles a submission: answers it at once, or starts the requests that accept it.
@@ -99,13 +100,8 @@
     ) {
         let id = spec.id.clone();
         let record = SizedValue::of(&SpecRecord::submitted(spec, context.wall_ms));
-        let txn = Txn {
-            conditions: vec![
-                Condition { key: spec_key(&id), version: 0 },
-                Condition { key: end_key(&id), version: 0 },
-            ],
-            writes: vec![Write::Put { key: spec_key(&id), value: record.value, lease: None }],
-        };
+        let mut txn = absence_transaction(slice::from_ref(&id));
+        txn.writes = vec![Write::Put { key: spec_key(&id), value: record.value, lease: None }];
         let op = out.store(StoreRequest::Commit(txn));
         let submission = PendingSubmission { job: id, to, record_bytes: record.bytes };
         self.pending.insert(op, Pending::Submit(submission));
@@ -235,6 +231,26 @@
         }
     }
 
+    /// Handles the reply to the read of a dependency's final state.
+    pub(super) fn dependency_end_read(
+        &mut self,
+        context: &RequestContext<'_>,
+        mut check: Box<DependencyCheck>,
+        dependency: &JobId,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        match check.final_state_read(result) {
+            Ok(final_state) => {
+                if let Some(FinalState { end, version }) = final_state {
+                    self.remember_version(dependency, end, version);
+                }
+                self.advance(context, check, out);
+            }
+            Err(_) => self.fail_dependency_check(check.to, out),
+        }
+    }
+
     /// Ends a dependency check for which the store gave no usable reply; the user has to retry.
     pub(super) fn fail_dependency_check(&mut self, to: ReplyTo, out: &mut ActionSink) {
         self.writes -= 1;
@@ -251,14 +267,32 @@
         out: &mut ActionSink,
     ) {
         let end = EndRecord { cancelled: true, tasks };
-        let txn = Txn {
-            conditions: vec![
-                Condition { key: spec_key(&id), version: 0 },
-                Condition { key: end_key(&id), version: 0 },
-            ],
-            writes: vec![Write::Put { key: end_key(&id), value: to_value(&end), lease: None }],
-        };
+        let mut txn = absence_transaction(slice::from_ref(&id));
+        txn.writes = vec![Write::Put { key: end_key(&id), value: to_value(&end), lease: None }];
         let op = out.store(StoreRequest::Commit(txn));
         self.pending.insert(op, Pending::SubmitCancelled(id, to, tasks));
     }
+
+    /// Handles the outcome of the transaction that accepts a job of this many tasks as cancelled.
+    pub(super) fn cancelled_submission_written(
+        &mut self,
+        context: &RequestContext<'_>,
+        id: JobId,
+        to: ReplyTo,
+        tasks: u32,
+        result: &StoreResult,
+        out: &mut ActionSink,
+    ) {
+        self.writes -= 1;
+        match result {
+            StoreResult::Committed(revision) => {
+                let end = EndRecord { cancelled: true, tasks };
+                out.reply(to, Answer::Job(201, terminal_status(&id, &end)));
+                self.remember_version(&id, end, *revision);
+            }
+            // Accepted before, and perhaps ended since.
+            StoreResult::Conflict(keys) => self.resubmitted(context, id, to, keys, out),
+            _ => out.reply(to, Answer::Unavailable(RETRY_STORE_S)),
+        }
+    }
 }
