Simulated world: direct commands are delivered again; tests that fail for it

A start command had been executed and answered, the task failed, its entry was cleared, the task ran on another machine, and a copy of the command reached the first machine 3 s after the original.

The simulated world delivers copies of direct commands, answered or not, from one step to 25 leases later; neither a restart of the sender nor one of the worker removes them. Tests with one leader and one worker check when a start is still executable.

--- a/crates/core/tests/cluster/held_commands.rs
+++ b/crates/core/tests/cluster/held_commands.rs
@@ -84,7 +84,7 @@
 }
 
 /// Held starts while no transaction succeeds for longer than cancelled tasks may run, so that the
-/// fencing token can't be raised. `tests/revocation.rs` tests when the leader then withholds
+/// fencing token can't be raised. `tests/revocation` tests when the leader then withholds
 /// heartbeat answers.
 #[test]
 fn held_starts_during_a_store_outage() {
--- a/crates/core/tests/cluster/main.rs
+++ b/crates/core/tests/cluster/main.rs
@@ -9,6 +9,7 @@
 mod large_fleet;
 mod named_fault_combinations;
 mod pipelines;
+mod repeated_commands;
 mod serving_fleets;
 mod store_limits;
 mod sweeps;
--- a/crates/core/tests/revocation.rs
+++ b/crates/core/tests/revocation/single_worker.rs
@@ -1,31 +1,29 @@
-//! Tests the revocation of unconfirmed starts, with one leader, one worker, a start command that
-//! gets no answer, and the cancellation of its job. Checks the leader's requests to the state
-//! service and the fencing tokens in its answers.
+//! One leader and one simulated worker, with a simulated state service, cloud and peers. The test
+//! decides what becomes of the first direct command that starts a task, and how tasks end.
 
-use marblebarrow_core::consts::{DRIFT, RAISE_CANCELLED_EVERY_S, SWEEP_EVERY_S};
 use marblebarrow_core::event::*;
 use marblebarrow_core::facts::{Facts, Team, Tuning};
 use marblebarrow_core::node::Node;
-use marblebarrow_proto::cbor::to_value;
-use marblebarrow_proto::ids::{JobId, MachineId, NodeId};
+use marblebarrow_proto::cbor::{from_value, to_value};
+use marblebarrow_proto::ids::{Attempt, JobId, MachineId, NodeId};
 use marblebarrow_proto::job::{JobSpec, Kind, Priority};
 use marblebarrow_proto::records::{LEADER_KEY, LeaderRecord, SpecRecord, TERM_KEY, TermRecord};
 use marblebarrow_proto::records::{cancel_key, spec_key};
 use marblebarrow_proto::wire::*;
 use std::collections::BTreeMap;
 
-const LEASE_S: f64 = 8.0;
-const CANCEL_S: f64 = 20.0;
-const REPORT_S: f64 = 1.0;
-const STEP_S: f64 = 0.1;
+pub const LEASE_S: f64 = 8.0;
+pub const CANCEL_S: f64 = 20.0;
+pub const REPORT_S: f64 = 1.0;
+pub const STEP_S: f64 = 0.1;
 /// Timeout of a direct command, in seconds.
-const DIRECT_TIMEOUT_S: f64 = 1.5;
+pub const DIRECT_TIMEOUT_S: f64 = 1.5;
 /// Version of the leader key after the election.
 const ELECTION_VERSION: u64 = 5;
 
 /// The outcome of transactions that raise the fencing token.
 #[derive(Clone, Copy, PartialEq)]
-enum RaiseTxnOutcome {
+pub enum RaiseTxnOutcome {
     Succeed,
     /// Executed, but the answer is lost; applies to one transaction.
     AnswerLost,
@@ -34,34 +32,44 @@
     LeaderChanged,
 }
 
-/// A direct command that is delayed in the network.
-struct SentDirect {
-    fencing_token: u64,
-    commands: Vec<Command>,
+/// What becomes of the first direct command that starts a task.
+#[derive(Clone, Copy, PartialEq)]
+pub enum FirstStart {
+    /// Delayed in the network, without an answer.
+    Held,
+    /// Executed and answered.
+    Answered,
+}
+
+/// A direct command that starts a task.
+pub struct SentDirect {
+    pub fencing_token: u64,
+    pub commands: Vec<Command>,
 }
 
 /// A leader and a simulated worker, state service, cloud and peers.
-struct Fixture {
-    node: Node,
-    now: f64,
+pub struct Fixture {
+    pub node: Node,
+    pub now: f64,
     revision: u64,
     /// The stored term counter and its version.
     counter: (u64, u64),
-    raise_outcome: RaiseTxnOutcome,
+    pub raise_outcome: RaiseTxnOutcome,
     /// Tokens set by executed transactions, in order.
-    raised: Vec<u64>,
-    /// The delayed start command.
-    held: Option<SentDirect>,
+    pub raised: Vec<u64>,
+    first_start: FirstStart,
+    /// The first direct command that starts a task.
+    pub held: Option<SentDirect>,
     /// Direct commands without an answer, and when they time out.
     timeouts: Vec<(f64, OpId)>,
     next_reply: u64,
     next_heartbeat: f64,
-    worker: Heartbeat,
+    pub worker: Heartbeat,
     /// When the last answered heartbeat was sent, and the token of the answer.
-    renewed: (f64, u64),
+    pub renewed: (f64, u64),
     /// When a heartbeat was last refused.
-    refused: Option<f64>,
-    closed: bool,
+    pub refused: Option<f64>,
+    pub closed: bool,
 }
 
 fn facts() -> Facts {
@@ -140,7 +148,12 @@
 
 impl Fixture {
     /// A leader, a machine that reports to it, and a start command in flight.
-    fn with_start_in_flight() -> Self {
+    pub fn with_start_in_flight() -> Self {
+        Self::with_first_start(FirstStart::Held)
+    }
+
+    /// A leader, a machine that reports to it, and a first start command that was sent directly.
+    pub fn with_first_start(first_start: FirstStart) -> Self {
         let worker = Heartbeat {
             machine: MachineId::new("n-000001"),
             addr: "n-000001".into(),
@@ -160,6 +173,7 @@
             counter: (0, 0),
             raise_outcome: RaiseTxnOutcome::Succeed,
             raised: Vec::new(),
+            first_start,
             held: None,
             timeouts: Vec::new(),
             next_reply: 0,
@@ -192,13 +206,13 @@
     }
 
     /// Cancels the job, which the watch reports at once; returns the time.
-    fn cancel(&mut self) -> f64 {
+    pub fn cancel(&mut self) -> f64 {
         self.put(cancel_key(&job()), to_value(&true));
         self.now
     }
 
     /// Runs for this many seconds, or until the condition holds.
-    fn run(&mut self, seconds: f64, until: impl Fn(&Self) -> bool) {
+    pub fn run(&mut self, seconds: f64, until: impl Fn(&Self) -> bool) {
         let end = self.now + seconds;
         while self.now < end && !until(self) {
             self.step();
@@ -267,12 +281,14 @@
         }
     }
 
-    /// The worker handles a direct command. The first start command is held back.
+    /// The worker handles a direct command. The first start command may be held back.
     fn direct(&mut self, op: OpId, token: u64, commands: Vec<Command>) {
         if self.held.is_none() && commands.iter().any(is_start) {
-            self.held = Some(SentDirect { fencing_token: token, commands });
-            self.timeouts.push((self.now + DIRECT_TIMEOUT_S, op));
-            return;
+            self.held = Some(SentDirect { fencing_token: token, commands: commands.clone() });
+            if self.first_start == FirstStart::Held {
+                self.timeouts.push((self.now + DIRECT_TIMEOUT_S, op));
+                return;
+            }
         }
         let accepted = token >= self.worker.fencing_token;
         if accepted {
@@ -290,15 +306,50 @@
 
     fn execute(&mut self, commands: &[Command]) {
         for command in commands {
-            if let Command::Start { task, attempt } = command {
-                let (task, attempt) = (task.clone(), *attempt);
-                let running =
-                    HeartbeatTask { task, attempt, state: TaskState::Running, end_reason: None };
-                self.worker.tasks.push(running);
+            match command {
+                Command::Start { task, attempt } => self.start(task, *attempt),
+                Command::Stop { attempt, .. } => self.end(*attempt, EndReason::Stopped),
+                Command::Forget { attempt, .. } => self.worker.tasks.retain(|listed| {
+                    listed.attempt != *attempt || listed.state != TaskState::Exited
+                }),
             }
         }
     }
 
+    fn start(&mut self, task: &str, attempt: Attempt) {
+        if self.worker.tasks.iter().all(|listed| listed.attempt != attempt) {
+            let (task, state) = (task.to_owned(), TaskState::Running);
+            self.worker.tasks.push(HeartbeatTask { task, attempt, state, end_reason: None });
+        }
+    }
+
+    /// Ends an attempt that runs on the worker.
+    pub fn end(&mut self, attempt: Attempt, reason: EndReason) {
+        let running = |listed: &&mut HeartbeatTask| {
+            listed.attempt == attempt && listed.state != TaskState::Exited
+        };
+        if let Some(listed) = self.worker.tasks.iter_mut().find(running) {
+            listed.state = TaskState::Exited;
+            listed.end_reason = Some(reason);
+            self.next_heartbeat = self.now;
+        }
+    }
+
+    /// The attempt that the first direct start command starts.
+    pub fn first_attempt(&self) -> Attempt {
+        let sent = self.held.as_ref().expect("a start was sent directly");
+        let attempt = |command: &Command| match command {
+            Command::Start { attempt, .. } => Some(*attempt),
+            _ => None,
+        };
+        sent.commands.iter().find_map(attempt).expect("a start command")
+    }
+
+    /// Whether the worker lists the attempt.
+    pub fn lists(&self, attempt: Attempt) -> bool {
+        self.worker.tasks.iter().any(|listed| listed.attempt == attempt)
+    }
+
     fn store(&mut self, request: &StoreRequest) -> StoreResult {
         match request {
             StoreRequest::GrantLease(_) => StoreResult::LeaseGranted(7),
@@ -340,7 +391,8 @@
             return StoreResult::Committed(ELECTION_VERSION);
         }
         if puts.contains_key(TERM_KEY) {
-            return self.raise(txn);
+            let record = from_value::<TermRecord>(puts[TERM_KEY]).expect("a term record");
+            return self.raise(txn, record.term);
         }
         let closes =
             |write: &Write| matches!(write, Write::Delete { key } if *key == cancel_key(&job()));
@@ -351,7 +403,7 @@
         StoreResult::Committed(self.revision)
     }
 
-    fn raise(&mut self, txn: &Txn) -> StoreResult {
+    fn raise(&mut self, txn: &Txn, token: u64) -> StoreResult {
         let cond =
             |key: &str, version| txn.conditions.contains(&Condition { key: key.into(), version });
         assert!(cond(LEADER_KEY, ELECTION_VERSION), "not conditional on the leader key: {txn:?}");
@@ -364,8 +416,9 @@
         }
         assert!(cond(TERM_KEY, self.counter.1), "not conditional on the counter: {txn:?}");
         self.revision += 1;
-        self.counter = (self.counter.0 + 1, self.revision);
-        self.raised.push(self.counter.0);
+        assert!(token > self.counter.0, "the counter decreases: {txn:?}");
+        self.counter = (token, self.revision);
+        self.raised.push(token);
         if self.raise_outcome == RaiseTxnOutcome::AnswerLost {
             self.raise_outcome = RaiseTxnOutcome::Succeed;
             return StoreResult::Unknown;
@@ -374,83 +427,9 @@
     }
 
     /// Whether the worker would execute the delayed start command if it arrived now.
-    fn held_start_is_executable(&self) -> bool {
+    pub fn held_start_is_executable(&self) -> bool {
         let held = self.held.as_ref().expect("a start is held");
         assert!(held.commands.iter().any(is_start));
         held.fencing_token >= self.worker.fencing_token && self.now - self.renewed.0 <= LEASE_S
     }
 }
-
-/// The leader raises the token and the worker adopts it from the answer that renews its lease. The
-/// delayed start then can't be executed any more, long before the cancelled tasks must be gone,
-/// and the job is closed.
-#[test]
-fn a_cancelled_unconfirmed_start_is_revoked_by_a_higher_token() {
-    let mut fixture = Fixture::with_start_in_flight();
-    let cancelled = fixture.cancel();
-    assert!(fixture.held_start_is_executable());
-    fixture.run(CANCEL_S, |s| s.worker.fencing_token == 2);
-    assert_eq!((fixture.raised.as_slice(), fixture.worker.fencing_token), ([2].as_slice(), 2));
-    assert!(!fixture.held_start_is_executable());
-    let most = DIRECT_TIMEOUT_S + RAISE_CANCELLED_EVERY_S + SWEEP_EVERY_S + REPORT_S + 3.0 * STEP_S;
-    assert!(fixture.now - cancelled <= most, "took {} s", fixture.now - cancelled);
-    fixture.run(5.0, |s| s.closed);
-    assert!(fixture.closed, "the job's records are not closed");
-    assert!(fixture.worker.tasks.is_empty(), "a task was started");
-    assert_eq!(fixture.refused, None, "a heartbeat was refused");
-}
-
-/// While the state service refuses the raise, the leader renews the worker's lease only as long as
-/// the lease can still expire in time. Once the raise succeeds, it answers heartbeats again.
-#[test]
-fn without_a_higher_token_the_lease_expires_in_time() {
-    let mut fixture = Fixture::with_start_in_flight();
-    let cancelled = fixture.cancel();
-    fixture.raise_outcome = RaiseTxnOutcome::Refused;
-    fixture.run(CANCEL_S, |s| s.refused.is_some());
-    let withheld = fixture.refused.expect("answers are withheld");
-    let (renewed, token) = fixture.renewed;
-    assert_eq!(token, 1);
-    let lease_end = renewed + LEASE_S * (1.0 + DRIFT);
-    assert!(lease_end <= cancelled + CANCEL_S * (1.0 - DRIFT), "renewed at {renewed}");
-    assert!(withheld > cancelled + CANCEL_S - LEASE_S - 3.0, "too early, at {withheld}");
-    fixture.run(3.0, |_| false);
-    assert_eq!(fixture.renewed, (renewed, token), "renewed while answers are withheld");
-    fixture.raise_outcome = RaiseTxnOutcome::Succeed;
-    fixture.run(3.0, |s| s.renewed.1 == 2);
-    assert_eq!(fixture.renewed.1, 2, "not renewed with the token that revokes the start");
-    assert!(!fixture.held_start_is_executable());
-}
-
-/// If the answer to a raise is lost, the leader can't know whether it owns the token. It never uses
-/// that token, but reads the counter again and raises it once more.
-#[test]
-fn a_token_is_used_only_after_its_transaction_was_answered() {
-    let mut fixture = Fixture::with_start_in_flight();
-    fixture.cancel();
-    fixture.raise_outcome = RaiseTxnOutcome::AnswerLost;
-    fixture.run(CANCEL_S, |s| s.worker.fencing_token > 1);
-    assert_eq!((fixture.raised.as_slice(), fixture.worker.fencing_token), ([2, 3].as_slice(), 3));
-}
-
-/// A raise that fails because the leader key has changed ends the leadership.
-#[test]
-fn a_raise_that_finds_another_leader_ends_the_leadership() {
-    let mut fixture = Fixture::with_start_in_flight();
-    fixture.cancel();
-    fixture.raise_outcome = RaiseTxnOutcome::LeaderChanged;
-    fixture.run(6.0, |s| s.node.leader().is_none());
-    assert!(fixture.node.leader().is_none());
-    assert_eq!(fixture.worker.fencing_token, 1);
-}
-
-/// An unconfirmed start of a job that is not cancelled is sent again with the same token, without a
-/// raise.
-#[test]
-fn an_unconfirmed_start_that_is_still_wanted_raises_no_token() {
-    let mut fixture = Fixture::with_start_in_flight();
-    fixture.run(10.0, |_| false);
-    assert_eq!(fixture.worker.tasks.len(), 1, "the start was not sent again");
-    assert!(fixture.raised.is_empty());
-    assert_eq!((fixture.worker.fencing_token, fixture.refused), (1, None));
-}
--- a/crates/rehearsal/src/world/cloud.rs
+++ b/crates/rehearsal/src/world/cloud.rs
@@ -125,6 +125,8 @@
             awaiting_since: None,
             trace: LeaseTrace::default(),
             tasks: BTreeMap::new(),
+            started: BTreeSet::new(),
+            restarts: 0,
         }
     }
 }
--- a/crates/rehearsal/src/world/controllers.rs
+++ b/crates/rehearsal/src/world/controllers.rs
@@ -180,6 +180,7 @@
             }
             Delivery::Event { node, boot, event } => self.event(node, boot, event),
             Delivery::Direct(direct) => self.deliver_direct(direct),
+            Delivery::RepeatedCommand(copy) => self.deliver_copy(copy),
             Delivery::Heartbeat { node, heartbeat, sent } => {
                 self.deliver_heartbeat(node, heartbeat, sent)
             }
--- a/crates/rehearsal/src/world/direct.rs
+++ b/crates/rehearsal/src/world/direct.rs
@@ -29,6 +29,7 @@
             u32::from(!cmd.commands.is_empty() && cmd.commands.iter().all(clears));
         self.directs_in_flight[node] += 1;
         self.max_direct_commands = self.max_direct_commands.max(self.directs_in_flight[node]);
+        self.schedule_copies(node, boot, &machine, &cmd);
         let direct_outcome = self.direct_outcome(node, &machine);
         self.cancel_held_starts(direct_outcome, &cmd);
         let answer = direct_outcome == DirectOutcome::Answered;
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -85,6 +85,8 @@
     /// Some direct commands are delayed, and the answers to others, while all other messages to and
     /// from their machines arrive.
     HeldCommands(HoldPlan, u32),
+    /// Some direct commands, answered or not, are delivered again, up to many leases later.
+    RepeatedCommands(RepeatPlan, u32),
 }
 
 /// How direct commands are delayed.
@@ -132,6 +134,7 @@
             | Self::NoMachineReachesController(s)
             | Self::MachineHangs(_, s)
             | Self::HeldCommands(_, s)
+            | Self::RepeatedCommands(_, s)
             | Self::ZonePartitionedWithController(_, _, s)
             | Self::MachineSlow(_, s) => *s,
             Self::OnLeader(t) => t.steps(),
@@ -221,6 +224,7 @@
             }
             Fault::MachineHangs(m, s) => self.at_machine(m, |w| w.hung_until = step + s),
             Fault::HeldCommands(held, s) => self.held = Some((held, step + s)),
+            Fault::RepeatedCommands(plan, s) => self.repeated = Some((plan, step + s)),
             Fault::LateWrites(s) => self.late_writes_until = step + s,
             Fault::BootTimes(tenths, s) => self.boots = (tenths, step + s),
             Fault::PollStorm(s) => self.poll_storm_until = step + s,
@@ -261,6 +265,8 @@
         let machine = self.machines.iter_mut().nth(place).filter(|(_, w)| up(w));
         let Some((id, worker)) = machine else { return };
         worker.tasks.clear();
+        worker.started.clear();
+        worker.restarts += 1;
         (worker.agent_epoch, worker.seq, worker.fencing_token) = (1, 0, 0);
         worker.leased_from = now;
         worker.next_heartbeat = now;
--- a/crates/rehearsal/src/world/members.rs
+++ b/crates/rehearsal/src/world/members.rs
@@ -69,4 +69,8 @@
     /// Heartbeats since the last lease renewal.
     pub(super) trace: LeaseTrace,
     pub(super) tasks: BTreeMap<TaskId, Running>,
+    /// Attempts started since the worker began, or since its agent epoch did.
+    pub(super) started: BTreeSet<(TaskId, Attempt)>,
+    /// How often the worker restarted.
+    pub(super) restarts: u32,
 }
--- a/crates/rehearsal/src/world/messages.rs
+++ b/crates/rehearsal/src/world/messages.rs
@@ -1,5 +1,6 @@
 //! Messages in flight, and the requesters that wait for answers.
 
+use super::repeated_commands::RepeatedCommand;
 use super::*;
 
 /// Direct commands in flight.
@@ -29,6 +30,7 @@
         event: Event,
     },
     Direct(DirectInFlight),
+    RepeatedCommand(RepeatedCommand),
     Heartbeat {
         node: usize,
         heartbeat: Heartbeat,
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -16,6 +16,7 @@
 mod members;
 mod messages;
 mod observations;
+mod repeated_commands;
 mod settings;
 mod store;
 mod store_limits;
@@ -30,6 +31,7 @@
 pub use lease_trace::{HeartbeatAttempt, HeartbeatOutcome, LeaseExpiry, LeaseTrace};
 pub use messages::{CellAnswer, OutgoingCall};
 pub use observations::Observations;
+pub use repeated_commands::{RepeatCounts, RepeatPlan};
 pub use store::StoreWork;
 pub use store_limits::StoreLimits;
 
@@ -91,6 +93,11 @@
     poll_storm_until: u32,
     /// How direct commands are delayed, and until when.
     held: Option<(HoldPlan, u32)>,
+    /// How direct commands are delivered again, and until when.
+    repeated: Option<(RepeatPlan, u32)>,
+    /// Source of the random decisions about repeated commands. Separate, so that runs with and
+    /// without them share all others.
+    repeat_rng: StdRng,
     /// Copies of heartbeats that reach every controller when the next leader takes over, and when
     /// each was sent.
     kept_heartbeats: Vec<(Heartbeat, f64)>,
--- a/crates/rehearsal/src/world/observations.rs
+++ b/crates/rehearsal/src/world/observations.rs
@@ -1,6 +1,6 @@
 //! Counts of events in a run.
 
-use super::LeaseExpiry;
+use super::{LeaseExpiry, RepeatCounts};
 
 /// Counts by which a test checks that the faults of a run took effect.
 #[derive(Debug, Default)]
@@ -59,6 +59,8 @@
     pub starts_past_cancellation: u32,
     /// Direct commands that were executed and whose answer arrived after the sender had timed out.
     pub late_answers: u32,
+    /// Direct commands that were delivered again.
+    pub repeats: RepeatCounts,
     /// Leases that expired while their workers held tasks.
     pub lease_expiries: Vec<LeaseExpiry>,
     /// Requests that the store refused because of its rate limits.
--- a/crates/rehearsal/src/world/settings.rs
+++ b/crates/rehearsal/src/world/settings.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Distinguishes the random numbers for repeated commands from all others of a seed.
+const REPEAT_SEED: u64 = 0x5eed_c0d1;
+
 impl World {
     /// Creates a cell from a seed and its faults, each with the step at which it begins.
     pub fn new(seed: u64, mut faults: Vec<(u32, Fault)>) -> Self {
@@ -42,6 +45,8 @@
             request_bursts_until: 0,
             cancel_at_end_until: 0,
             held: None,
+            repeated: None,
+            repeat_rng: StdRng::seed_from_u64(seed ^ REPEAT_SEED),
             kept_heartbeats: Vec::new(),
             request_bursts: Vec::new(),
             cancels_due: Vec::new(),
--- a/crates/rehearsal/src/world/tasks.rs
+++ b/crates/rehearsal/src/world/tasks.rs
@@ -72,6 +72,7 @@
         if w.tasks.get(&task).is_some_and(|run| run.attempt == attempt) {
             return;
         }
+        self.observed.repeats.executed_again += u32::from(w.has_cleared(&task, attempt));
         let why = w.refusal(&task);
         if why.is_none() {
             self.check_dependencies_done(&task, &spec);
@@ -82,6 +83,7 @@
         let state = if why.is_some() { TaskState::Exited } else { TaskState::Running };
         if let Some(w) = self.machines.get_mut(id) {
             w.report_soon(now);
+            w.started.insert((task.clone(), attempt));
             if why != Some(EndReason::Busy) {
                 w.tasks.insert(task, Running { attempt, state, why, ends });
             }
--- a/crates/rehearsal/src/world/workers.rs
+++ b/crates/rehearsal/src/world/workers.rs
@@ -93,6 +93,7 @@
             }
             w.trace.renewed();
             w.tasks.clear();
+            w.started.clear();
             w.agent_epoch += 1;
             w.seq = 0;
             w.leased_from = now;
