Clear an attempt only with a higher token than its direct start carried

A start sent directly had been executed and answered, its task had failed and been placed elsewhere; a copy of the command reached the first machine 3 s after the original and was executed again, under the same token and session.

Cause: a start sent directly can be executed as long as its token and session match. While the worker lists the attempt, a copy does nothing; the clear of the entry took that away and was sent under the same token. A right that outlives its purpose: starts without an answer were revoked, those with one were not.

Fix: a clear of such an entry comes in a heartbeat answer, with a higher token than any direct command with that start carried. The worker takes both or neither. The leader reserves 256 tokens with one change of the store, and each machine uses them up by itself. An attempt that a worker lists no longer although it was not cleared counts as unconfirmed and is revoked; a worker that was reset is shown a higher token than any of its starts carried, as often as it restarts. A machine that lists 400 attempts gets no new tasks.

Every simulated run now has copies of direct commands, and no attempt may start again after its clear ("started_again").

The simulated world holds copies for a worker's former process back for 3 s after a restart: until a message of the leader reaches it, a restarted worker executes every command of session 1.

--- a/crates/core/src/attempts.rs
+++ b/crates/core/src/attempts.rs
@@ -113,6 +113,7 @@
         m.ended_attempts.clear();
         m.unknown_attempts.clear();
         m.unconfirmed_starts.clear();
+        m.direct_starts.end_agent_epoch();
         if !m.tasks.is_empty() {
             m.tasks_lost_at = Some(now);
         }
--- a/crates/core/src/consts/election.rs
+++ b/crates/core/src/consts/election.rs
@@ -110,6 +110,12 @@
 /// Delay after a failed attempt to stand for election, in seconds.
 pub const STAND_RETRY_S: f64 = 0.4;
 
+/// Number of fencing tokens that a leader reserves with one change of the store. Attempts have room
+/// for 2^32 terms, and each block uses up this many.
+pub const FENCING_TOKEN_BLOCK: u64 = 256;
+/// The leader reserves the next block when a machine's token leaves fewer unused ones than this, so
+/// that a slow answer of the store delays nobody.
+pub const FENCING_TOKENS_LOW: u64 = 128;
 /// Minimum time between two raises of the fencing token while a cancelled job's start is
 /// unconfirmed, in seconds. Each raise costs one change of the store and serves all machines that
 /// have unconfirmed starts by then.
--- a/crates/core/src/consts/workers.rs
+++ b/crates/core/src/consts/workers.rs
@@ -66,6 +66,9 @@
 pub const PROBE_SHARE: f64 = 0.6;
 /// Maximum number of commands in one message; an answer then stays far below 64 KiB.
 pub const COMMANDS_MAX: usize = 200;
+/// Maximum number of attempts, ended or not, that a worker may list; a machine that lists more gets
+/// no new tasks. An entry takes some hundred bytes, and a heartbeat may have 64 KiB.
+pub const LISTED_ATTEMPTS_MAX: usize = 400;
 /// Number of task failures on a machine without a success in between after which it gets no more
 /// work: usually the machine is faulty.
 pub const MACHINE_ERRORS: u32 = 3;
--- a/crates/core/src/direct_results.rs
+++ b/crates/core/src/direct_results.rs
@@ -55,7 +55,7 @@
         m.failed_direct_sends = 0;
         m.probe_due = false;
         if (heartbeat.agent_epoch, heartbeat.seq) <= sent.known {
-            return self.worker_was_reset(now, &sent.machine);
+            return self.worker_was_reset(now, sent);
         }
         self.apply_heartbeat(now, heartbeat);
         self.place_due = true;
@@ -67,17 +67,35 @@
     /// the worker before the reset match its agent epoch, so only the release of the machine
     /// proves what doesn't run there. When the machine was kept, a duplicate of an old task list
     /// was accepted and a task ran twice.
-    fn worker_was_reset(&mut self, now: Secs, id: &MachineId) {
+    fn worker_was_reset(&mut self, now: Secs, sent: &DirectSent) {
+        let id = &sent.machine;
         let Some(m) = self.machines.get_mut(id) else {
             return;
         };
-        self.log.debug(|| format!("event=reborn machine={id} term={}", self.term.0));
-        m.worker_restarted = true;
+        if !std::mem::replace(&mut m.worker_restarted, true) {
+            let (token, term) = (sent.fencing_token, self.term.0);
+            self.log.info(now, || format!("event=reborn machine={id} token={token} term={term}"));
+        }
         m.cordoned = true;
         m.releasing = true;
-        m.probe_due = false;
         m.last_answered_at = now;
         self.cloud_requests.to_release.insert(id.clone());
+        self.revoke_commands_before_reset(now, sent);
+    }
+
+    /// Shows a worker that was reset a higher token than any direct command with a start carried:
+    /// the worker would execute these again, and the release of its machine may take long.
+    fn revoke_commands_before_reset(&mut self, now: Secs, shown: &DirectSent) {
+        let id = &shown.machine;
+        let highest = self.machines.get(id).and_then(|m| m.direct_starts.highest_token());
+        if highest.is_none_or(|highest| highest < shown.fencing_token) {
+            return;
+        }
+        self.revoke_direct_starts(id);
+        if let Some(m) = self.machines.get_mut(id) {
+            m.probe_due = true;
+            m.next_direct_at = now + PROBE_RETRY_DELAY_S;
+        }
     }
 
     /// Handles an unanswered message: schedules a retry and makes its starts ready again.
--- a/crates/core/src/fencing.rs
+++ b/crates/core/src/fencing.rs
@@ -1,14 +1,17 @@
-//! Raises the fencing token during a leadership.
+//! Reserves higher fencing tokens during a leadership.
 //!
 //! The token of a new leader is its term; the stored counter is raised to it in the transaction
 //! that sets the leader key. A leader may raise the counter again, on condition that its leader key
-//! still has the version from its election, and use the higher number as the token for some
-//! workers. Once a worker has seen it, the worker refuses everything that carries a lower token.
-//! No other controller can own that number, as the next elected leader raises the counter further.
-//! The leader uses a number only after the answer to its transaction confirmed it: after a lost
-//! answer it reads the counter again and raises it once more.
+//! still has the version from its election, and use the numbers up to it as tokens for single
+//! workers. Once a worker has seen one, the worker refuses everything that carries a lower token.
+//! No other controller can own these numbers, as the next elected leader raises the counter
+//! further. The leader uses them only after the answer to its transaction confirmed them: after a
+//! lost answer it reads the counter again and raises it once more.
+//!
+//! The counter is raised by [`FENCING_TOKEN_BLOCK`] at a time, so that a higher token for a machine
+//! rarely costs a change of the store.
 
-use crate::consts::STORE_RETRY_S;
+use crate::consts::{FENCING_TOKEN_BLOCK, FENCING_TOKENS_LOW, STORE_RETRY_S};
 use crate::event::{ActionSink, OpId, Secs, StoreRequest, StoreResult};
 use marblebarrow_proto::cbor::{from_value, to_value};
 use marblebarrow_proto::records::{LEADER_KEY, TERM_KEY, TermRecord};
@@ -33,9 +36,9 @@
 pub enum RaiseOutcome {
     /// The answer belongs to another request.
     Unrelated,
-    /// There is no higher token yet.
+    /// There are no higher tokens yet.
     Pending,
-    /// The leader may use this token from now on.
+    /// The leader may use all tokens up to this one from now on.
     Raised(u64),
     /// The leader key has changed: this controller is no longer the leader.
     NotLeading,
@@ -64,7 +67,12 @@
         self.highest
     }
 
-    /// Requests a higher token, unless a request is in flight or the last one was made less than
+    /// Whether so few tokens above this one are left that more should be reserved.
+    pub fn is_low_above(&self, token: u64) -> bool {
+        self.highest < token + FENCING_TOKENS_LOW
+    }
+
+    /// Requests higher tokens, unless a request is in flight or the last one was made less than
     /// `pause` seconds ago. Returns how many keys of the store this changes.
     pub fn raise(&mut self, now: Secs, pause: Secs, out: &mut ActionSink) -> u32 {
         if self.step.is_some() || now < self.not_before {
@@ -85,7 +93,7 @@
 
     /// Sends the transaction that raises the counter.
     fn commit(&mut self, counter: Counter, out: &mut ActionSink) {
-        let token = counter.value.max(self.highest) + 1;
+        let token = counter.value.max(self.highest) + FENCING_TOKEN_BLOCK;
         let txn = Txn {
             conditions: vec![
                 Condition { key: LEADER_KEY.into(), version: self.leader_version },
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The leader's view of the machines.
 
 use crate::consts::*;
+use crate::direct_starts::DirectStarts;
 use crate::event::{OpId, Secs};
 use crate::unconfirmed_starts::UnconfirmedStarts;
 use marblebarrow_proto::ids::{Attempt, MachineId, TaskId};
@@ -74,9 +75,11 @@
     pub direct_in_flight: Option<OpId>,
     /// Time before which no direct commands are sent.
     pub next_direct_at: Secs,
-    /// Starts that may still be carried out. The entries of their attempts must not be cleared, as
-    /// a late start would run them again.
+    /// Starts that may still be carried out.
     pub unconfirmed_starts: UnconfirmedStarts,
+    /// Starts that were sent directly. The entries of their attempts may be cleared only with a
+    /// higher token, as a late or repeated start would run them again.
+    pub direct_starts: DirectStarts,
     /// Fencing token for it if that is higher than the term; otherwise 0.
     pub raised_fencing_token: u64,
     /// Whether its heartbeats are left unanswered so that its lease runs out.
@@ -144,6 +147,7 @@
             direct_in_flight: None,
             next_direct_at: 0.0,
             unconfirmed_starts: UnconfirmedStarts::default(),
+            direct_starts: DirectStarts::default(),
             raised_fencing_token: 0,
             replies_withheld: false,
             unknown_attempts: BTreeSet::new(),
@@ -185,6 +189,7 @@
             && !self.releasing
             && !self.replies_withheld
             && self.notice.is_none()
+            && self.ended_attempts.len() + self.tasks.len() < LISTED_ATTEMPTS_MAX
     }
 
     /// Whether it has only just come up, and hasn't yet proved that commands reach it.
--- a/crates/core/src/heartbeats/absence.rs
+++ b/crates/core/src/heartbeats/absence.rs
@@ -3,8 +3,9 @@
 
 use crate::consts::{WORKER_MARGIN_S, WORKER_REPLY_EXPIRY_S};
 use crate::event::Secs;
-use crate::jobs::{Live, Outcome, Phase, live_attempt_mut};
+use crate::jobs::{Live, Outcome, Phase, live_attempt, live_attempt_mut};
 use crate::leader::Leader;
+use crate::unconfirmed_starts::{AttemptKey, UnconfirmedStart};
 use marblebarrow_proto::ids::{MachineId, TaskId};
 use std::collections::BTreeSet;
 
@@ -79,4 +80,71 @@
             m.probe_due = true;
         }
     }
+
+    /// Marks starts that were sent directly as unconfirmed if the worker doesn't list their attempts
+    /// although it was not told to clear them: a late or repeated command would be executed. A
+    /// worker that restarted has lost its attempts, and accepts the tokens of earlier commands.
+    pub(super) fn note_vanished(&mut self, now: Secs, id: &MachineId, listed: &BTreeSet<TaskId>) {
+        let Some(m) = self.machines.get(id).filter(|m| m.confirmed) else { return };
+        let vanished: Vec<(AttemptKey, u64)> = m
+            .direct_starts
+            .iter()
+            .filter(|(key, _)| {
+                !m.ended_attempts.contains_key(*key)
+                    && !m.unknown_attempts.contains(*key)
+                    && !m.unconfirmed_starts.contains(key)
+            })
+            .filter(|(key, _)| !self.is_listed_or_on_its_way(now, id, key, listed))
+            .map(|(key, token)| (key.clone(), token))
+            .collect();
+        for (key, fencing_token) in vanished {
+            self.mark_vanished(now, id, key, fencing_token);
+        }
+    }
+
+    /// Whether an attempt is placed on the machine, and its worker either lists it or may not have
+    /// got its start yet.
+    fn is_listed_or_on_its_way(
+        &self,
+        now: Secs,
+        id: &MachineId,
+        key: &AttemptKey,
+        listed: &BTreeSet<TaskId>,
+    ) -> bool {
+        let (task, attempt) = key;
+        let live = live_attempt(&self.jobs, task);
+        let Some(live) = live.filter(|live| live.machine == *id && live.attempt == *attempt) else {
+            return false;
+        };
+        let direct_in_flight = self.machines.get(id).is_some_and(|m| m.direct_in_flight.is_some());
+        match live.phase {
+            Phase::Placed | Phase::Ready => true,
+            Phase::Sent => listed.contains(task) || direct_in_flight || may_be_in_flight(live, now),
+            Phase::Seen | Phase::Running => listed.contains(task),
+        }
+    }
+
+    fn mark_vanished(&mut self, now: Secs, id: &MachineId, key: AttemptKey, fencing_token: u64) {
+        let (task, attempt) = &key;
+        let cancelled_at = match self.jobs.get(&task.job) {
+            Some(job) => job.cancelled_at,
+            // The job was closed; a cancellation was unknown until then.
+            None => Some(now - self.facts.replica_age_limit()),
+        };
+        let live = live_attempt_mut(&mut self.jobs, task);
+        if let Some(live) = live.filter(|l| l.machine == *id && l.attempt == *attempt) {
+            live.unconfirmed = true;
+        }
+        self.revocations.vanished += 1;
+        self.log.info(now, || {
+            format!(
+                "event=vanished task={task} attempt={} machine={id} token={fencing_token}",
+                attempt.0
+            )
+        });
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let start = UnconfirmedStart { fencing_token, since: now, cancelled_at, listed: false };
+        m.unconfirmed_starts.note_vanished(key, start);
+        self.machines_with_unconfirmed_starts.insert(id.clone());
+    }
 }
--- a/crates/core/src/heartbeats/agent_epochs.rs
+++ b/crates/core/src/heartbeats/agent_epochs.rs
@@ -33,6 +33,7 @@
         for entry in &heartbeat.tasks {
             self.apply_task(now, id, entry, &mut listed);
         }
+        self.note_vanished(now, id, &listed);
         self.apply_absence(now, id, &listed);
     }
 
--- a/crates/core/src/heartbeats/mod.rs
+++ b/crates/core/src/heartbeats/mod.rs
@@ -14,6 +14,7 @@
 use crate::jobs::live_attempt_mut;
 use crate::leader::Leader;
 use crate::replica::Replica;
+use crate::worker_commands::Channel;
 use marblebarrow_proto::ids::{MachineId, TaskId};
 use marblebarrow_proto::wire::{Command, Heartbeat, HeartbeatAnswer, HeartbeatTask, TaskState};
 
@@ -47,7 +48,7 @@
             {
                 return self.answer_overtaken(now, heartbeat);
             }
-            self.probe_after_late_copy(now, &heartbeat.machine);
+            self.probe_after_late_copy(now, heartbeat);
             return None;
         }
         self.apply_heartbeat(now, heartbeat);
@@ -74,11 +75,16 @@
     }
 
     /// Probes the machine: a late copy may also mean that the worker restarted, which only a new
-    /// exchange can show.
-    fn probe_after_late_copy(&mut self, now: Secs, id: &MachineId) {
+    /// exchange can show. The probe revokes the direct starts that it would then execute again.
+    fn probe_after_late_copy(&mut self, now: Secs, heartbeat: &Heartbeat) {
+        let id = &heartbeat.machine;
         let Some(m) = self.machines.get_mut(id) else { return };
-        if !m.worker_restarted && m.last_reached_at.is_none_or(|at| now - at > WORKER_MARGIN_S) {
+        // A worker that is known to have restarted may do so again.
+        let restart_handled = m.worker_restarted
+            && m.direct_starts.highest_token().is_none_or(|sent| sent < heartbeat.fencing_token);
+        if !restart_handled && m.last_reached_at.is_none_or(|at| now - at > WORKER_MARGIN_S) {
             m.probe_due = true;
+            self.revoke_direct_starts(id);
         }
     }
 
@@ -115,7 +121,7 @@
             // confirms them, and an answer that renews the lease of such tasks must carry them.
             return Some(self.stops(id, |job| job.is_none_or(|j| j.cancelled)));
         }
-        let (commands, starts) = self.compose_commands(id);
+        let (commands, starts) = self.compose_commands(id, Channel::HeartbeatAnswer);
         for (task, _) in starts {
             let live = live_attempt_mut(&mut self.jobs, &task);
             if let Some(live) = live {
--- a/crates/core/src/heartbeats/tasks.rs
+++ b/crates/core/src/heartbeats/tasks.rs
@@ -46,7 +46,7 @@
             self.confirm_attempt(now, id, &task, entry.state);
             listed.insert(task);
         } else if !self.is_newer_attempt(&task, entry.attempt) {
-            self.note_unneeded_attempt(id, task, entry.attempt);
+            self.note_unneeded_attempt(now, id, task, entry.attempt);
         } else if self.adopt_attempt(now, id, &task, entry).is_some() {
             listed.insert(task);
         }
@@ -104,16 +104,18 @@
     }
 
     /// Records an attempt that isn't needed, so that it gets stopped.
-    fn note_unneeded_attempt(&mut self, id: &MachineId, task: TaskId, attempt: Attempt) {
-        self.log.debug(|| {
+    fn note_unneeded_attempt(&mut self, now: Secs, id: &MachineId, task: TaskId, attempt: Attempt) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let (agent_epoch, token, term) = (m.agent_epoch, m.fencing_token, self.term.0);
+        self.revocations.unneeded += 1;
+        self.log.info(now, || {
             format!(
-                "event=stranger task={task} attempt={} machine={id} term={}",
-                attempt.0, self.term.0
+                "event=stranger task={task} attempt={} machine={id} session={agent_epoch} \
+                 token={token} term={term}",
+                attempt.0
             )
         });
-        if let Some(m) = self.machines.get_mut(id) {
-            m.unknown_attempts.insert((task, attempt));
-        }
+        m.unknown_attempts.insert((task, attempt));
     }
 
     /// Adopts an attempt that was started under an earlier term.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -110,6 +110,8 @@
     pub(crate) fencing: FencingToken,
     /// Machines with unconfirmed starts.
     pub(crate) machines_with_unconfirmed_starts: BTreeSet<MachineId>,
+    /// Whether more fencing tokens should be reserved.
+    pub(crate) tokens_needed: bool,
     /// Counters of the outcomes of unconfirmed starts.
     pub revocations: RevocationCounters,
     pub(crate) next_unconfirmed_log: Secs,
@@ -166,6 +168,7 @@
             common_format: 0,
             fencing: FencingToken::new(term.0, version),
             machines_with_unconfirmed_starts: BTreeSet::new(),
+            tokens_needed: false,
             revocations: RevocationCounters::default(),
             next_unconfirmed_log: now + UNCONFIRMED_LOG_S,
             log,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 mod dependency_check;
 mod deprovision;
 mod direct_results;
+pub mod direct_starts;
 pub mod election;
 pub mod event;
 pub mod facts;
--- a/crates/core/src/revocation.rs
+++ b/crates/core/src/revocation.rs
@@ -22,8 +22,14 @@
 pub struct RevocationCounters {
     /// Starts that became unconfirmed.
     pub unconfirmed: u64,
-    /// Raises of the fencing token.
+    /// Blocks of fencing tokens reserved.
     pub raised: u64,
+    /// Raises of the token of a single machine.
+    pub machine_raises: u64,
+    /// Attempts that a worker listed no longer although they weren't cleared.
+    pub vanished: u64,
+    /// Reports of attempts that no worker should run, as a late or repeated start causes them.
+    pub unneeded: u64,
     /// Starts revoked, because their worker showed a higher token.
     pub revoked: u64,
     /// Answers withheld, because they would have renewed a lease for too long.
@@ -47,6 +53,24 @@
         self.term.0.max(machine.raised_fencing_token).max(shown)
     }
 
+    /// Raises the token for a machine above `sent`, unless it is higher already or no higher one is
+    /// reserved yet. Reserves more tokens in time.
+    pub(crate) fn raise_token_above(&mut self, id: &MachineId, sent: u64) {
+        let Some(token) = self.machines.get(id).map(|m| self.fencing_token_for(m)) else { return };
+        self.tokens_needed |= self.fencing.is_low_above(token.max(sent));
+        if token > sent || sent >= self.fencing.highest() {
+            return;
+        }
+        if let Some(m) = self.machines.get_mut(id) {
+            m.raised_fencing_token = sent + 1;
+            self.revocations.machine_raises += 1;
+        }
+        let term = self.term.0;
+        self.log.debug(|| {
+            format!("event=machine_token_raised machine={id} token={} term={term}", sent + 1)
+        });
+    }
+
     /// The highest token that this leader may use.
     pub fn highest_fencing_token(&self) -> u64 {
         self.fencing.highest()
@@ -95,12 +119,22 @@
         self.machines_with_unconfirmed_starts.insert(sent.machine.clone());
     }
 
+    /// Raises the token for a machine above that of any start sent directly to it.
+    pub(crate) fn revoke_direct_starts(&mut self, id: &MachineId) {
+        let highest = self.machines.get(id).and_then(|m| m.direct_starts.highest_token());
+        if let Some(highest) = highest {
+            self.raise_token_above(id, highest);
+        }
+    }
+
     /// Removes the unconfirmed starts that carried a lower token than the worker has shown.
     pub(crate) fn revoke_shown(&mut self, now: Secs, id: &MachineId) {
-        let Some(m) = self.machines.get_mut(id).filter(|m| !m.unconfirmed_starts.is_empty()) else {
-            return;
-        };
+        let Some(m) = self.machines.get_mut(id) else { return };
         let shown = m.fencing_token;
+        m.direct_starts.revoke(shown);
+        if m.unconfirmed_starts.is_empty() {
+            return;
+        }
         let revoked = m.unconfirmed_starts.revoke(shown);
         if revoked.is_empty() {
             return;
@@ -145,18 +179,20 @@
                 }
                 continue;
             };
-            let highest = self.fencing.highest();
-            if let Some(m) = self.machines.get_mut(&id) {
-                if highest > token {
-                    m.raised_fencing_token = highest;
+            if token < self.fencing.highest() {
+                self.raise_token_above(&id, token);
+                if let Some(m) = self.machines.get_mut(&id) {
                     // A direct command shows the worker the token sooner than a heartbeat answer.
                     m.probe_due |= urgency == Urgency::Cancellation;
-                } else {
-                    needed = needed.max(Some(urgency));
                 }
+            } else {
+                needed = needed.max(Some(urgency));
             }
             self.machines_with_unconfirmed_starts.insert(id);
         }
+        if self.tokens_needed {
+            needed = needed.max(Some(Urgency::Room));
+        }
         let Some(urgency) = needed else { return };
         let pause = match urgency {
             Urgency::Cancellation => RAISE_CANCELLED_EVERY_S,
@@ -202,6 +238,7 @@
             RaiseOutcome::NotLeading => WriteOutcome::NotLeading,
             RaiseOutcome::Raised(token) => {
                 self.revocations.raised += 1;
+                self.tokens_needed = false;
                 let machines = self.machines_with_unconfirmed_starts.len();
                 self.log.info(now, || {
                     format!(
@@ -274,13 +311,15 @@
         let earliest = cancelled().reduce(f64::min);
         let least_left =
             earliest.map_or("-".into(), |at| format!("{:.1}", at + self.facts.cancel_s - now));
-        let RevocationCounters { unconfirmed, raised, revoked, withheld } = self.revocations;
+        let RevocationCounters { unconfirmed, raised, revoked, withheld, .. } = self.revocations;
+        let RevocationCounters { machine_raises, vanished, unneeded, .. } = self.revocations;
         let (term, suppressed) = (self.term.0, self.log.suppressed());
         self.log.info(now, || {
             format!(
                 "event=doubts starts={starts} oldest_s={oldest:.1} cancelled_starts={unrevoked} \
                  least_left_s={least_left} became_doubtful={unconfirmed} tokens_raised={raised} \
-                 revoked={revoked} answers_withheld={withheld} suppressed_lines={suppressed} \
+                 revoked={revoked} answers_withheld={withheld} machine_raises={machine_raises} \
+                 vanished={vanished} strangers={unneeded} suppressed_lines={suppressed} \
                  term={term}"
             )
         });
--- a/crates/core/src/unconfirmed_starts.rs
+++ b/crates/core/src/unconfirmed_starts.rs
@@ -1,5 +1,6 @@
 //! Tracks the unconfirmed starts on a machine. Their outcome is unknown: the direct command that
-//! carried them got no answer, and may be executed as long as its token and agent epoch match.
+//! carried them got no answer, and may be executed as long as its token and agent epoch match. The
+//! same holds if the worker listed an attempt and has lost it without having been told to.
 //!
 //! An unconfirmed start ends only when the worker has shown a higher token than the command
 //! carried, when its agent epoch ends, or when its machine is returned. Without tracking, a start
@@ -22,8 +23,8 @@
     /// A time before which no user was told that the job was cancelled, in seconds; `None` unless
     /// the job is cancelled.
     pub cancelled_at: Option<Secs>,
-    /// The worker has listed the attempt. Until the attempt is cleared, another start of it does
-    /// nothing, and unconfirmed attempts are not cleared.
+    /// The worker has listed the attempt. Until the attempt is cleared, which takes a higher token,
+    /// another start of it does nothing.
     pub listed: bool,
 }
 
@@ -71,6 +72,15 @@
         }
     }
 
+    /// Records that the worker doesn't list an attempt any more although it wasn't cleared: another
+    /// start of it would be executed.
+    pub fn note_vanished(&mut self, key: AttemptKey, start: UnconfirmedStart) {
+        self.record(key.clone(), start);
+        if let Some(start) = self.0.get_mut(&key) {
+            start.listed = false;
+        }
+    }
+
     /// Removes and returns the starts that the worker refuses from now on, because it has shown a
     /// higher token than they carried.
     pub fn revoke(&mut self, shown: u64) -> Vec<AttemptKey> {
--- a/crates/core/src/worker_commands.rs
+++ b/crates/core/src/worker_commands.rs
@@ -11,6 +11,15 @@
 use marblebarrow_proto::wire::{Command, EndReason};
 use std::cmp::Ordering;
 
+/// How commands reach a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Channel {
+    /// In the answer to a heartbeat, which the worker takes once and only while it waits for it.
+    HeartbeatAnswer,
+    /// In a request to the worker, which may be delivered late or again.
+    Direct,
+}
+
 /// A machine that waits for a direct command.
 struct WaitingDirectCommand {
     /// Whether it left the last direct command unanswered.
@@ -60,23 +69,18 @@
 
     /// The commands to send to a machine now: first stops, then removals from its list of exited
     /// tasks, then starts. The second value lists the starts.
-    pub(crate) fn compose_commands(&mut self, id: &MachineId) -> (Vec<Command>, Vec<AttemptKey>) {
+    pub(crate) fn compose_commands(
+        &mut self,
+        id: &MachineId,
+        channel: Channel,
+    ) -> (Vec<Command>, Vec<AttemptKey>) {
         let mut commands = self.stops(id, |_| true);
+        commands.extend(self.clears(id, channel));
         let mut starts = Vec::new();
         let Some(m) = self.machines.get_mut(id) else {
             return (commands, starts);
         };
         m.direct_send_due = false;
-        for (key, why) in &m.ended_attempts {
-            let (task, attempt) = key;
-            let safe = match self.jobs.get(&task.job) {
-                None => true,
-                Some(j) => *why != EndReason::Done || j.stored_finished.contains(task.index),
-            };
-            if safe && !m.unconfirmed_starts.contains(key) {
-                commands.push(Command::Forget { task: task.to_string(), attempt: *attempt });
-            }
-        }
         let startable =
             m.recorded && m.expired_epoch.is_none() && !m.releasing && m.last_reached_at.is_some();
         let number = m.info.number;
@@ -100,19 +104,67 @@
                 starts.push((task.clone(), live.attempt));
             }
         }
-        self.log_commands(id, commands.len(), &starts);
+        self.log_commands(id, commands.len(), &starts, channel);
         (commands, starts)
     }
 
+    /// Removals from the worker's list of exited tasks. Where the start was sent directly, they need
+    /// a higher token than it carried: a copy of it would start the attempt again.
+    ///
+    /// Only the answer to a heartbeat raises the token for that. A direct command with a higher
+    /// token could overtake such an answer, which its worker would then discard.
+    fn clears(&mut self, id: &MachineId, channel: Channel) -> Vec<Command> {
+        let Some(m) = self.machines.get(id) else { return Vec::new() };
+        let is_recorded = |(task, _): &AttemptKey, why: EndReason| match self.jobs.get(&task.job) {
+            None => true,
+            Some(job) => why != EndReason::Done || job.stored_finished.contains(task.index),
+        };
+        let ended = m.ended_attempts.iter().filter(|(key, why)| is_recorded(key, **why));
+        let ended: Vec<(AttemptKey, Option<u64>)> =
+            ended.map(|(key, _)| (key.clone(), m.direct_starts.token_of(key))).collect();
+        if channel == Channel::HeartbeatAnswer
+            && let Some(highest) = ended.iter().filter_map(|(_, sent)| *sent).max()
+        {
+            self.raise_token_above(id, highest);
+        }
+        let Some(token) = self.machines.get(id).map(|m| self.fencing_token_for(m)) else {
+            return Vec::new();
+        };
+        let clearable = ended.into_iter().filter(|(_, sent)| sent.is_none_or(|sent| sent < token));
+        let clear = |((task, attempt), _): (AttemptKey, _)| Command::Forget {
+            task: task.to_string(),
+            attempt,
+        };
+        clearable.take(COMMANDS_MAX).map(clear).collect()
+    }
+
     /// Logs which knowledge the commands to a machine are based on.
-    fn log_commands(&mut self, id: &MachineId, commands: usize, starts: &[AttemptKey]) {
+    fn log_commands(
+        &mut self,
+        id: &MachineId,
+        commands: usize,
+        starts: &[AttemptKey],
+        channel: Channel,
+    ) {
         if commands == 0 {
             return;
         }
+        let Some(m) = self.machines.get(id) else { return };
+        let (agent_epoch, token) = (m.agent_epoch, self.fencing_token_for(m));
+        for (task, attempt) in starts {
+            self.log.debug(|| {
+                format!(
+                    "event=start_sent task={task} attempt={} machine={id} session={agent_epoch} \
+                     token={token} channel={channel:?}",
+                    attempt.0
+                )
+            });
+        }
         let (term, starts, knowledge) = (self.term.0, starts.len(), self.knowledge);
         self.log.debug(|| {
             format!(
-                "event=commands machine={id} commands={commands} starts={starts} term={term} \
+                "event=commands machine={id} commands={commands} starts={starts} token={token} \
+                 term={term} \
                  revision={} known_at_s={:.2} authority_until_s={:.2}",
                 knowledge.revision, knowledge.known_at, knowledge.authority_until
             )
@@ -158,7 +210,7 @@
                 continue;
             };
             let (commands, starts) = if agent_epoch != 0 {
-                self.compose_commands(&id)
+                self.compose_commands(&id, Channel::Direct)
             } else {
                 (Vec::new(), Vec::new())
             };
@@ -188,6 +240,11 @@
         };
         let op = out.op();
         m.direct_in_flight = Some(op);
+        for start in &starts {
+            m.direct_starts.record(start.clone(), token);
+        }
+        // A higher token will be needed to clear them.
+        self.tokens_needed |= !starts.is_empty() && self.fencing.is_low_above(token);
         let known = (m.agent_epoch, m.seq);
         let unanswered = m.failed_direct_sends > 0;
         out.actions.push(Action::Direct {
--- a/crates/core/tests/revocation/single_worker.rs
+++ b/crates/core/tests/revocation/single_worker.rs
@@ -60,6 +60,9 @@
     first_start: FirstStart,
     /// The first direct command that starts a task.
     pub held: Option<SentDirect>,
+    /// Attempts that the worker started, in order, and whether the first direct start command could
+    /// still be executed then.
+    pub executed: Vec<(Attempt, bool)>,
     /// Direct commands without an answer, and when they time out.
     timeouts: Vec<(f64, OpId)>,
     next_reply: u64,
@@ -175,6 +178,7 @@
             raised: Vec::new(),
             first_start,
             held: None,
+            executed: Vec::new(),
             timeouts: Vec::new(),
             next_reply: 0,
             next_heartbeat: 3.0,
@@ -318,6 +322,8 @@
 
     fn start(&mut self, task: &str, attempt: Attempt) {
         if self.worker.tasks.iter().all(|listed| listed.attempt != attempt) {
+            let executable = self.held.is_some() && self.held_start_is_executable();
+            self.executed.push((attempt, executable));
             let (task, state) = (task.to_owned(), TaskState::Running);
             self.worker.tasks.push(HeartbeatTask { task, attempt, state, end_reason: None });
         }
@@ -335,6 +341,15 @@
         }
     }
 
+    /// Restarts the worker under its name: it has no tasks, has seen no token, and is in its first
+    /// agent epoch. Its messages are numbered from `seq`.
+    pub fn restart_worker(&mut self, seq: u64) {
+        self.worker.tasks.clear();
+        (self.worker.agent_epoch, self.worker.seq, self.worker.fencing_token) = (1, seq, 0);
+        self.next_heartbeat = self.now;
+        self.renewed = (self.now, 0);
+    }
+
     /// The attempt that the first direct start command starts.
     pub fn first_attempt(&self) -> Attempt {
         let sent = self.held.as_ref().expect("a start was sent directly");
--- a/crates/proto/src/records.rs
+++ b/crates/proto/src/records.rs
@@ -90,10 +90,10 @@
     pub boot: u64,
 }
 
-/// The term counter.
+/// The counter of terms and fencing tokens.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TermRecord {
-    /// The last term that was assigned.
+    /// The last number that was assigned as a term or reserved as a token.
     pub term: u64,
 }
 
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -11,6 +11,8 @@
 //! - [`world`]: one cell, with its [`Fault`](world::Fault)s.
 //! - [`fleet_of_cells`]: several cells, and faulty links between them.
 //! - [`held_commands`]: a simulation of one cell in which commands to workers are delayed.
+//! - [`repeated_commands`]: a simulation of one cell in which commands are delivered again.
+//! - [`single_cell`]: runs of scenarios of one cell.
 //! - [`scenario`]: the named scenarios of `marblebarrow rehearse`, and their verdicts.
 //! - [`sweep`]: checks that run over ranges of seeds.
 //!
@@ -44,6 +46,8 @@
 
 pub mod fleet_of_cells;
 pub mod held_commands;
+pub mod repeated_commands;
 pub mod scenario;
+pub mod single_cell;
 pub mod sweep;
 pub mod world;
--- a/crates/rehearsal/src/world/cloud.rs
+++ b/crates/rehearsal/src/world/cloud.rs
@@ -127,6 +127,7 @@
             tasks: BTreeMap::new(),
             started: BTreeSet::new(),
             restarts: 0,
+            restarted_at: 0,
         }
     }
 }
--- a/crates/rehearsal/src/world/faults.rs
+++ b/crates/rehearsal/src/world/faults.rs
@@ -267,6 +267,7 @@
         worker.tasks.clear();
         worker.started.clear();
         worker.restarts += 1;
+        worker.restarted_at = step;
         (worker.agent_epoch, worker.seq, worker.fencing_token) = (1, 0, 0);
         worker.leased_from = now;
         worker.next_heartbeat = now;
--- a/crates/rehearsal/src/world/members.rs
+++ b/crates/rehearsal/src/world/members.rs
@@ -71,6 +71,7 @@
     pub(super) tasks: BTreeMap<TaskId, Running>,
     /// Attempts started since the worker began, or since its agent epoch did.
     pub(super) started: BTreeSet<(TaskId, Attempt)>,
-    /// How often the worker restarted.
+    /// How often the worker restarted, and when it last did.
     pub(super) restarts: u32,
+    pub(super) restarted_at: u32,
 }
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -93,7 +93,7 @@
     poll_storm_until: u32,
     /// How direct commands are delayed, and until when.
     held: Option<(HoldPlan, u32)>,
-    /// How direct commands are delivered again, and until when.
+    /// How direct commands are delivered again, and until when. By default some are in every run.
     repeated: Option<(RepeatPlan, u32)>,
     /// Source of the random decisions about repeated commands. Separate, so that runs with and
     /// without them share all others.
@@ -199,6 +199,10 @@
     /// Tasks of jobs whose number is a multiple of this fail on every machine. Users cancel these
     /// jobs.
     pub failing_job_interval: Option<u32>,
+    /// Whether the first attempt of each task fails.
+    pub first_attempts_fail: bool,
+    /// Tasks whose first attempt failed for that reason.
+    failed_once: BTreeSet<TaskId>,
     /// Whether the tasks of a job end far apart, task `i` after `stagger_s * i` seconds.
     pub staggered_tasks: bool,
     /// Seconds between the ends of consecutive tasks of a job if `staggered_tasks` is set.
--- a/crates/rehearsal/src/world/workers.rs
+++ b/crates/rehearsal/src/world/workers.rs
@@ -129,6 +129,11 @@
             self.failed_attempts += 1;
             return EndReason::Error;
         }
+        if self.fails_first(task) {
+            self.failed_once.insert(task.clone());
+            self.failed_attempts += 1;
+            return EndReason::Error;
+        }
         self.finished.insert(task.clone());
         self.newly_finished.push(task.clone());
         if self.all_finished(&task.job)
--- /dev/null
+++ b/crates/rehearsal/tests/repeated_commands.rs
@@ -0,0 +1,42 @@
+//! The scenario of repeated commands: its verdict, that runs repeat, and that its faults take
+//! effect.
+
+use marblebarrow_rehearsal::repeated_commands::RepeatedOutcome;
+use marblebarrow_rehearsal::scenario::{Outcome, Scenario};
+use marblebarrow_rehearsal::world::RepeatCounts;
+
+/// Least counts of all seeds together: copies of starts of attempts that had been executed and
+/// cleared, those of cancelled jobs, those of tasks that were on another machine, and copies that
+/// reached a worker after a restart or came from a process that had ended.
+const LEAST: [u32; 5] = [480, 120, 60, 60, 240];
+
+fn run(seed: u64) -> RepeatedOutcome {
+    let verdict = Scenario::RepeatedCommands.run(seed);
+    assert!(verdict.passed(), "{verdict}");
+    let Outcome::RepeatedCommands(outcome) = verdict.outcome else {
+        unreachable!("this scenario returns the counts of repeated commands");
+    };
+    outcome
+}
+
+#[test]
+fn the_first_12_seeds_pass_and_their_faults_take_effect() {
+    let mut total = RepeatCounts::default();
+    (0..12).for_each(|seed| total.add(&run(seed).repeats));
+    let met = [
+        total.starts_of_cleared_attempts,
+        total.of_cancelled_jobs,
+        total.of_moved_tasks,
+        total.after_restart,
+        total.from_ended_process,
+    ];
+    assert!(met.iter().zip(LEAST).all(|(met, least)| *met >= least), "{total:?}");
+}
+
+/// The same seed must give the same verdict, event for event.
+#[test]
+fn same_seed_repeats_a_run_and_another_seed_differs() {
+    let digest = |seed| Scenario::RepeatedCommands.run(seed).digest;
+    assert_eq!(digest(5), digest(5));
+    assert_ne!(digest(5), digest(6));
+}
--- a/tests/stand_in/mod.rs
+++ b/tests/stand_in/mod.rs
@@ -18,3 +18,4 @@
 pub use cluster::Cluster;
 pub use inputs::{Plan, Resources, WorkerTimes, job_body, settings_text, stage};
 pub use usage::Usage;
+pub use worker::{InterceptedCommand, Interception};
