Give up no machine until most were heard for long enough

What users would see: when all controllers were cut off from the workers for 11 s and a leader was elected in that time, it returned a third of its machines once the cut was over, with their replicas.

Cause: a new leader waits 6.5 s before it takes silence for failure, as workers need that long to find it. The wait counted from the election; behind a cut it was over before the workers could be heard at all.

Fix: it also counts from when the leader began to hear most machines.

The new test runs 24 seeds of that cut and passes.

--- a/crates/core/src/consts/workers.rs
+++ b/crates/core/src/consts/workers.rs
@@ -44,8 +44,9 @@
 pub const UNANSWERED_SHARE: f64 = 0.5;
 /// Minimum interval between two rounds of direct commands, in seconds: a round scans all machines.
 pub const DIRECT_ROUND_INTERVAL_S: f64 = 0.02;
-/// No machine is given up as unreachable within this time after a takeover, in seconds: workers
-/// need a heartbeat timeout and one or two attempts to find the new leader.
+/// No machine is given up as unreachable within this time after a takeover, and after the leader
+/// began to hear most machines, in seconds: workers need a heartbeat timeout and one or two attempts
+/// to find the new leader.
 pub const PRESUMED_DEAD_AFTER_S: f64 = 6.5;
 /// Backoff after a failed direct command, in seconds; until then, heartbeat answers carry the
 /// commands.
--- a/crates/core/src/deprovision/failure_detector.rs
+++ b/crates/core/src/deprovision/failure_detector.rs
@@ -26,8 +26,9 @@
     lost_after: Secs,
     /// Whether most machines were heard recently.
     majority_heard: bool,
-    /// Whether most machines were heard recently, and this leader has led and run without delay for
-    /// long enough for that to be reliable.
+    /// Whether this leader has led, heard most machines and run without delay for long enough for
+    /// their silence to be reliable. A leader that was elected while all workers were cut off gave
+    /// up a third of its machines, which had not found it yet after the cut.
     observations_reliable: bool,
     /// Whether this process ran without delay for `presumed_dead_after`.
     undelayed: bool,
@@ -46,16 +47,16 @@
         let heartbeat_missed_after =
             heartbeat_interval_s * MISSED_HEARTBEAT_INTERVALS + MISSED_HEARTBEAT_MARGIN_S;
         let leader_since = leader.cloud_requests.leader_since;
-        let majority_heard = majority_heard(&leader.machines, now, heartbeat_interval_s);
         Self {
             now,
             leader_since,
             presumed_dead_after,
             heartbeat_missed_after,
             lost_after: leader.facts.lease_s + EXPIRED_LEASE_KEPT_S,
-            majority_heard,
-            observations_reliable: now - leader_since > PRESUMED_DEAD_AFTER_S
-                && majority_heard
+            majority_heard: leader.majority_heard_since.is_some(),
+            observations_reliable: leader
+                .majority_heard_since
+                .is_some_and(|since| now - since.max(leader_since) > PRESUMED_DEAD_AFTER_S)
                 && leader.unstalled_for(now, heartbeat_missed_after),
             undelayed: leader.unstalled_for(now, presumed_dead_after),
             enough_heard_now: enough_heard_now(&leader.machines, now, heartbeat_interval_s),
@@ -139,7 +140,7 @@
 }
 
 /// Whether more than half of all machines were heard within `UNREACHABLE_HEARTBEATS` intervals.
-fn majority_heard(machines: &Machines, now: Secs, heartbeat_interval_s: f64) -> bool {
+pub(super) fn majority_heard(machines: &Machines, now: Secs, heartbeat_interval_s: f64) -> bool {
     let heard = |m: &&Machine| {
         m.last_heard_at.is_some_and(|at| now - at < heartbeat_interval_s * UNREACHABLE_HEARTBEATS)
     };
--- a/crates/core/src/deprovision/mod.rs
+++ b/crates/core/src/deprovision/mod.rs
@@ -15,7 +15,7 @@
 
 use crate::event::Secs;
 use crate::leader::Leader;
-use failure_detector::FailureDetector;
+use failure_detector::{FailureDetector, majority_heard};
 use idle::ImageHolders;
 use marblebarrow_proto::ids::{MachineId, TaskId};
 
@@ -43,6 +43,8 @@
     /// Checks each machine: marks those that are presumed dead for release, cordons faulty ones,
     /// and collects those that may be released.
     fn check_machines(&mut self, now: Secs) -> Candidates {
+        let heard = majority_heard(&self.machines, now, self.facts.heartbeat_interval_s);
+        self.majority_heard_since = self.majority_heard_since.or(Some(now)).filter(|_| heard);
         let detector = FailureDetector::new(self, now);
         let holders = ImageHolders::of(&self.machines);
         let mut candidates = Candidates::default();
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -90,6 +90,8 @@
     next_sweep: Secs,
     /// When this controller was elected.
     elected_at: Secs,
+    /// Since when this leader has heard most machines; `None` while it doesn't.
+    pub(crate) majority_heard_since: Option<Secs>,
     /// Since when this process has been scheduled on a processor without delay.
     pub(crate) unstalled_since: Secs,
     pub(crate) next_direct_round_at: Secs,
@@ -155,6 +157,7 @@
             next_step: 0.0,
             next_sweep: 0.0,
             elected_at: now,
+            majority_heard_since: None,
             unstalled_since: now,
             next_direct_round_at: 0.0,
             recovering: true,
--- a/crates/core/tests/cluster/serving_fleets.rs
+++ b/crates/core/tests/cluster/serving_fleets.rs
@@ -33,26 +33,39 @@
     }
 }
 
+/// Checks that a partition ends no replica and causes no machines to be returned.
+fn check_partition(seed: u64, cut: Vec<(u32, Fault)>) {
+    let mut world = serving_fleet(seed, cut.clone());
+    world.run(398);
+    let (replicas, returned) = (world.serving(), world.returned());
+    world.run(540);
+    assert_eq!(world.violations, Vec::<String>::new(), "seed {seed} {cut:?}");
+    assert_eq!(world.serving(), replicas, "seed {seed} {cut:?}");
+    let more = world.returned() - returned;
+    assert!(more <= 4, "seed {seed} {cut:?}: {more} machines returned");
+}
+
+/// All controllers are cut off from the workers.
+fn workers_cut() -> Vec<(u32, Fault)> {
+    (0..3).map(|n| (400, Fault::WorkersCut(n, 110))).collect()
+}
+
 /// Neither a partitioned zone nor a leader that is cut off from its workers causes machines to be
 /// returned within the seconds after which failed ones are.
 #[test]
 fn partitions_are_not_taken_for_machine_failures() {
     for seed in 0..4 {
-        let cuts: Vec<Vec<(u32, Fault)>> = vec![
-            vec![(400, Fault::ZonePartitioned("b", 140))],
-            (0..3).map(|n| (400, Fault::WorkersCut(n, 110))).collect(),
-            vec![(400, Fault::WorkersCut(0, 300))],
-        ];
-        for cut in cuts {
-            let mut world = serving_fleet(seed, cut.clone());
-            world.run(398);
-            let (replicas, returned) = (world.serving(), world.returned());
-            world.run(540);
-            assert_eq!(world.violations, Vec::<String>::new(), "seed {seed} {cut:?}");
-            assert_eq!(world.serving(), replicas, "seed {seed} {cut:?}");
-            let more = world.returned() - returned;
-            assert!(more <= 4, "seed {seed} {cut:?}: {more} machines returned");
-        }
+        check_partition(seed, vec![(400, Fault::ZonePartitioned("b", 140))]);
+        check_partition(seed, workers_cut());
+        check_partition(seed, vec![(400, Fault::WorkersCut(0, 300))]);
+    }
+}
+
+/// Guards against machines returned by a leader that was elected while all workers were cut off.
+#[test]
+fn a_leader_elected_while_workers_are_cut_off_returns_no_machines() {
+    for seed in 0..24 {
+        check_partition(seed, workers_cut());
     }
 }
 
