Tests: start no child process while ports are bound to find free ones

leader_stays_while_watches_return_no_events failed once: its three controllers logged "Address already in use". A child that another test's thread starts holds a copy of all sockets until it runs its program, also those that were bound to find free ports.

--- a/tests/stand_in/cluster.rs
+++ b/tests/stand_in/cluster.rs
@@ -13,8 +13,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::Child;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -38,10 +38,16 @@
 /// happened, workers received requests meant for controllers.
 const PORT_RANGE: std::ops::Range<u32> = 10_000..32_000;
 
+/// Held while ports are bound to find free ones, and while a child process is started: until the
+/// child runs its program, it holds a copy of every socket of this process, and the ports can't be
+/// bound again.
+static PORTS_OR_SPAWN: Mutex<()> = Mutex::new(());
+
 /// Finds free ports by binding them, then releases them for the child processes. Each process
 /// starts at a different port and repeats none until the whole range is used.
 pub fn free_addresses(count: usize) -> Vec<SocketAddr> {
     static NEXT: AtomicU32 = AtomicU32::new(0);
+    let _no_child_starts = PORTS_OR_SPAWN.lock().unwrap_or_else(PoisonError::into_inner);
     let port_count = PORT_RANGE.end - PORT_RANGE.start;
     let start = std::process::id().wrapping_mul(PORT_STRIDE);
     let ports = std::iter::repeat_with(|| {
@@ -402,6 +408,7 @@
         command.env("LOG_LEVEL", "debug");
     }
     let log = std::fs::OpenOptions::new().create(true).append(true).open(log_file(dir, i));
+    let _no_ports_bound = PORTS_OR_SPAWN.lock().unwrap_or_else(PoisonError::into_inner);
     command.stderr(log.expect("log")).spawn().expect("start")
 }
 
