--- a/crates/core/src/worker_commands.rs
+++ b/crates/core/src/worker_commands.rs
@@ -127,15 +127,22 @@
         {
             self.raise_token_above(id, highest);
         }
-        let Some(token) = self.machines.get(id).map(|m| self.fencing_token_for(m)) else {
-            return Vec::new();
-        };
+        let Some(m) = self.machines.get(id) else { return Vec::new() };
+        let (agent_epoch, token) = (m.agent_epoch, self.fencing_token_for(m));
+        let mut commands = Vec::new();
         let clearable = ended.into_iter().filter(|(_, sent)| sent.is_none_or(|sent| sent < token));
-        let clear = |((task, attempt), _): (AttemptKey, _)| Command::Forget {
-            task: task.to_string(),
-            attempt,
-        };
-        clearable.take(COMMANDS_MAX).map(clear).collect()
+        for ((task, attempt), sent) in clearable.take(COMMANDS_MAX) {
+            self.log.debug(|| {
+                let started_with = sent.map_or("-".into(), |sent| sent.to_string());
+                format!(
+                    "event=clear_sent task={task} attempt={} machine={id} session={agent_epoch} \
+                     token={token} started_with={started_with}",
+                    attempt.0
+                )
+            });
+            commands.push(Command::Forget { task: task.to_string(), attempt });
+        }
+        commands
     }
 
     /// Logs which knowledge the commands to a machine are based on.
