--- a/crates/core/tests/revocation/repeated_starts.rs
+++ b/crates/core/tests/revocation/repeated_starts.rs
@@ -111,15 +111,19 @@
     }
 }
 
-/// The restart can't be told from the numbers of the worker's messages.
+/// The restart can't be told from the numbers of the worker's messages, nor from its token if a
+/// command that was in flight has shown it the present one.
 #[test]
 fn a_task_lost_in_an_unnoticed_restart_starts_again_only_once_its_start_is_revoked() {
-    let mut fixture = Fixture::with_first_start(FirstStart::Answered);
-    fixture.run(3.0, |_| false);
-    let seq = fixture.worker.seq + 5;
-    fixture.restart_worker(seq);
-    fixture.run(40.0, |s| s.executed.len() > 1);
-    let (attempt, executable) = *fixture.executed.last().expect("a start");
-    assert_ne!(attempt, fixture.first_attempt(), "the task was not started again");
-    assert!(!executable, "the lost attempt could be started too");
+    for shown in [0, 1] {
+        let mut fixture = Fixture::with_first_start(FirstStart::Answered);
+        fixture.run(3.0, |_| false);
+        let seq = fixture.worker.seq + 5;
+        fixture.restart_worker(seq);
+        fixture.worker.fencing_token = shown;
+        fixture.run(40.0, |s| s.executed.len() > 1);
+        let (attempt, executable) = *fixture.executed.last().expect("a start");
+        assert_ne!(attempt, fixture.first_attempt(), "token {shown}: not started again");
+        assert!(!executable, "token {shown}: the lost attempt could be started too");
+    }
 }
--- a/crates/rehearsal/tests/repeated_commands.rs
+++ b/crates/rehearsal/tests/repeated_commands.rs
@@ -33,6 +33,15 @@
     assert!(met.iter().zip(LEAST).all(|(met, least)| *met >= least), "{total:?}");
 }
 
+/// Guards against restarted workers that execute copies for their former process because the leader
+/// takes longer than 3 s to show them a token.
+#[test]
+fn restarted_workers_are_shown_a_token_before_late_copies_arrive() {
+    for seed in [323, 1003, 1226] {
+        run(seed);
+    }
+}
+
 /// The same seed must give the same verdict, event for event.
 #[test]
 fn same_seed_repeats_a_run_and_another_seed_differs() {
