--- a/review/kit-2/src/ctl.rs
+++ b/review/kit-2/src/ctl.rs
@@ -3,11 +3,19 @@
 use crate::util::note;
 use std::fs::{self, File};
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Mutex;
 
+extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 /// The settings that scenarios vary.
 #[derive(Clone)]
 pub struct Settings {
@@ -124,7 +132,15 @@
             .create(true)
             .append(true)
             .open(self.dir.join(format!("barrow-{a}.log")));
-        let child = Command::new(&self.program[0])
+        let mut command = Command::new(&self.program[0]);
+        // A controller ends with this program, also if that is killed.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .args(&self.program[1..])
             .arg(self.dir.join(format!("barrow-{a}.toml")))
             .env("LOG_LEVEL", self.log)
