Give up no machine for a probe that was lost before its heartbeat was due

Cause: a probe that was lost while a machine's heartbeats were in time counted as one of the two after which a silent machine is returned, and a leader that had just been cut off still moved replicas between machines.

Change: only probes that fail while the heartbeat is overdue count. Replicas are moved only while enough machines are heard right now.

--- a/crates/core/src/deprovision/consolidation.rs
+++ b/crates/core/src/deprovision/consolidation.rs
@@ -1,5 +1,6 @@
 //! Consolidation: moves work off machines so that they can be released.
 
+use super::failure_detector::enough_heard_now;
 use crate::consts::*;
 use crate::event::Secs;
 use crate::fleet::Machine;
@@ -52,6 +53,12 @@
         if self.recovering || now < self.cloud_requests.next_consolidation {
             return;
         }
+        // A leader that is cut off from its workers would stop replicas and couldn't start them
+        // elsewhere.
+        let interval = self.facts.heartbeat_interval_s;
+        if !enough_heard_now(&self.machines, now, interval) {
+            return;
+        }
         // No consolidation while spare-capacity work is waiting either, as it would fill the
         // capacity that the replicas free. Mistaken jobs are ignored: they wait until their users
         // act, and counting them blocked all consolidation.
@@ -94,6 +101,7 @@
         !machine.info.spot
             && machine.services > 0
             && machine.usable(now, self.facts.heartbeat_interval_s)
+            && !machine.is_heartbeat_overdue(now, self.facts.heartbeat_interval_s)
     }
 
     /// Whether all tasks of a machine fit on other machines that run replicas and hold the images.
--- a/crates/core/src/deprovision/failure_detector.rs
+++ b/crates/core/src/deprovision/failure_detector.rs
@@ -89,12 +89,13 @@
         self.unreachable_for(machine) > self.presumed_dead_after && needs_no_wait && self.undelayed
     }
 
-    /// Whether the machine missed a heartbeat and two probes (`FAILED_PROBES_MIN`). It is then
+    /// Whether the machine missed a heartbeat and, since then, two probes (`FAILED_PROBES_MIN`). It is
+    /// then
     /// dead, hung or partitioned; its lease treats all of these alike. Without this rule, dead
     /// machines kept a tenth of all replicas down for a whole lease.
     fn is_unresponsive(&self, machine: &Machine) -> bool {
         self.enough_heard_now
-            && machine.failed_direct_sends >= FAILED_PROBES_MIN
+            && machine.failed_while_overdue >= FAILED_PROBES_MIN
             && self.unreachable_for(machine) > self.heartbeat_missed_after
             && !self.is_zone_partitioned(&machine.info.zone)
     }
@@ -149,7 +150,7 @@
 
 /// Whether the share of machines heard within `HEARD_NOW_HEARTBEATS` intervals exceeds
 /// `HEARD_NOW_SHARE`. Machines whose lease lapsed aren't counted.
-fn enough_heard_now(machines: &Machines, now: Secs, heartbeat_interval_s: f64) -> bool {
+pub(super) fn enough_heard_now(machines: &Machines, now: Secs, heartbeat_interval_s: f64) -> bool {
     let window = heartbeat_interval_s * HEARD_NOW_HEARTBEATS;
     let mut all = 0u32;
     let mut heard = 0u32;
--- a/crates/core/src/direct_results.rs
+++ b/crates/core/src/direct_results.rs
@@ -53,6 +53,7 @@
         };
         m.last_reached_at = Some(now);
         m.failed_direct_sends = 0;
+        m.failed_while_overdue = 0;
         m.probe_due = false;
         if (heartbeat.agent_epoch, heartbeat.seq) <= sent.known {
             return self.worker_was_reset(now, sent);
@@ -104,6 +105,8 @@
             return;
         };
         m.failed_direct_sends += 1;
+        let overdue = m.is_heartbeat_overdue(now, self.facts.heartbeat_interval_s);
+        m.failed_while_overdue += u32::from(overdue);
         m.direct_failed = Some(now);
         let backoff =
             if m.failed_direct_sends < PROBES { PROBE_RETRY_DELAY_S } else { DIRECT_BACKOFF_S };
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -53,6 +53,8 @@
     pub probe_due: bool,
     /// Number of consecutive commands that couldn't be delivered.
     pub failed_direct_sends: u32,
+    /// Number of consecutive commands that couldn't be delivered while its heartbeat was overdue.
+    pub failed_while_overdue: u32,
     /// Time at which a direct command last went unanswered.
     pub direct_failed: Option<Secs>,
     /// Whether everything that it may run is known because it reported in this term.
@@ -135,6 +137,7 @@
             last_reached_at: None,
             probe_due: false,
             failed_direct_sends: 0,
+            failed_while_overdue: 0,
             direct_failed: None,
             confirmed: false,
             expired_epoch: None,
@@ -203,6 +206,12 @@
             && self.notice.is_none()
     }
 
+    /// Whether its next heartbeat should have arrived.
+    pub fn is_heartbeat_overdue(&self, now: Secs, heartbeat_interval_s: Secs) -> bool {
+        let latest = heartbeat_interval_s * (1.0 + HEARTBEAT_JITTER);
+        self.last_heard_at.is_none_or(|at| now - at > latest)
+    }
+
     /// Whether commands are known to have reached it recently.
     pub fn is_reachable(&self, now: Secs, heartbeat_interval_s: f64) -> bool {
         self.last_reached_at.is_some_and(|at| {
--- a/crates/core/src/heartbeats/agent_epochs.rs
+++ b/crates/core/src/heartbeats/agent_epochs.rs
@@ -84,6 +84,7 @@
         }
         m.last_heard_at = Some(now);
         m.failed_direct_sends = 0;
+        m.failed_while_overdue = 0;
         if m.info.addr != heartbeat.addr {
             m.info.addr.clone_from(&heartbeat.addr);
             if let Some(block) = m.block {
--- a/crates/core/src/worker_commands.rs
+++ b/crates/core/src/worker_commands.rs
@@ -287,7 +287,7 @@
             let heard = since < self.facts.heartbeat_interval_s * UNREACHABLE_HEARTBEATS;
             let unconfirmed = heard && m.last_reached_at.is_none_or(|at| now - at > probe_after);
             let missed = since > quiet_limit
-                && m.failed_direct_sends < FAILED_PROBES_MIN
+                && m.failed_while_overdue < FAILED_PROBES_MIN
                 && m.expired_epoch.is_none();
             if unconfirmed || missed && !m.releasing {
                 m.probe_due = true;
--- a/crates/core/tests/cluster/serving_fleets.rs
+++ b/crates/core/tests/cluster/serving_fleets.rs
@@ -64,7 +64,8 @@
 /// Guards against machines returned by a leader that was elected while all workers were cut off.
 #[test]
 fn a_leader_elected_while_workers_are_cut_off_returns_no_machines() {
-    for seed in 0..24 {
+    // A probe was lost just before the cut with the last seeds, or replicas were being moved.
+    for seed in (0..24).chain([117, 189, 210, 295, 326, 341, 363]) {
         check_partition(seed, workers_cut());
     }
 }
