--- a/crates/core/src/writer/answers.rs
+++ b/crates/core/src/writer/answers.rs
@@ -130,6 +130,7 @@
                 }
             }
             Entry::Block(number, names) => {
+                self.writer.split_committed(number);
                 if let Some(block) = self.writer.blocks.get_mut(&number) {
                     block.version = if names.is_empty() { 0 } else { version };
                 }
--- a/crates/core/src/writer/batch.rs
+++ b/crates/core/src/writer/batch.rs
@@ -15,6 +15,7 @@
 use marblebarrow_proto::job::Kind;
 use marblebarrow_proto::records::*;
 use marblebarrow_proto::wire::{Condition, Txn, Write};
+use std::collections::BTreeSet;
 
 /// A transaction under construction.
 struct Batch {
@@ -155,7 +156,10 @@
             if b.is_full() {
                 break;
             }
-            all_fit &= self.add_block(number, b);
+            // A block may have been written together with an earlier one.
+            if self.writer.blocks.get(&number).is_some_and(|block| block.mark.is_some()) {
+                all_fit &= self.add_block(number, b);
+            }
         }
         all_fit
     }
@@ -169,36 +173,42 @@
 
     /// Adds a block, split if its records no longer fit one value; returns false if the resulting
     /// blocks don't all fit. They must go into one transaction, because a machine that is in no
-    /// block is unknown to the next leader.
+    /// block is unknown to the next leader. So must those of an earlier split that isn't known to
+    /// be committed: their machines are distributed anew. Waits while the version of one of them is
+    /// uncertain.
     fn add_block(&mut self, number: u32, b: &mut Batch) -> bool {
-        let Some(block) = self.writer.blocks.get(&number) else { return true };
-        let version = block.version;
-        let machines: Vec<(MachineId, MachineRecord)> = block
-            .members
-            .iter()
-            .filter_map(|id| Some((id.clone(), self.machines.get(id)?.info.clone())))
-            .collect();
-        if machines.is_empty() {
-            self.writer.blocks.entry(number).or_default().mark = None;
-            if version != 0 {
-                b.delete(block_key(number), version);
-                b.entries.push(Entry::Block(number, Vec::new()));
-            }
+        let mut numbers = self.writer.blocks_written_with(number);
+        if numbers.iter().any(|number| self.writer.uncertain.contains(&block_key(*number))) {
             return true;
         }
-        let parts = split_block(machines, self.writer.limits);
-        if parts.len() > b.remaining() {
+        let parts = split_block(self.machine_records(&numbers), self.writer.limits);
+        let new = parts.len().saturating_sub(numbers.len());
+        let next = self.writer.next_block();
+        numbers.extend((next..).take(new));
+        let emptied = numbers.split_off(parts.len());
+        let deleted = emptied.iter().filter(|number| self.writer.is_stored(**number)).count();
+        if parts.len() + deleted > b.remaining() {
             return false;
         }
-        let mut numbers = vec![number];
-        let next = self.writer.next_block();
-        numbers.extend((next..).take(parts.len() - 1));
-        for (number, part) in numbers.into_iter().zip(parts) {
-            self.put_block(number, &part, b);
+        self.writer.write_together(numbers.iter().chain(&emptied).copied().collect());
+        for (number, part) in numbers.into_iter().zip(&parts) {
+            self.put_block(number, part, b);
+        }
+        for number in emptied {
+            self.delete_block(number, b);
         }
         true
     }
 
+    /// The records of the machines in these blocks.
+    fn machine_records(&self, numbers: &[u32]) -> Vec<(MachineId, MachineRecord)> {
+        let blocks = numbers.iter().filter_map(|number| self.writer.blocks.get(number));
+        blocks
+            .flat_map(|block| &block.members)
+            .filter_map(|id| Some((id.clone(), self.machines.get(id)?.info.clone())))
+            .collect()
+    }
+
     /// Adds one block and assigns its machines to it.
     fn put_block(&mut self, number: u32, part: &SizedBlock, b: &mut Batch) {
         let SizedBlock { block: records, bytes } = part;
@@ -216,6 +226,16 @@
         b.entries.push(Entry::Block(number, names));
     }
 
+    /// Adds the removal of a block that has no machines any more.
+    fn delete_block(&mut self, number: u32, b: &mut Batch) {
+        let block = self.writer.blocks.entry(number).or_default();
+        (block.mark, block.members) = (None, BTreeSet::new());
+        if block.version != 0 {
+            b.delete(block_key(number), block.version);
+            b.entries.push(Entry::Block(number, Vec::new()));
+        }
+    }
+
     /// Adds the progress records that are due.
     fn batch_parts(&mut self, now: Secs, b: &mut Batch) {
         let mut due: Vec<(u8, Secs, (JobId, u32))> = Vec::new();
--- a/crates/core/src/writer/mod.rs
+++ b/crates/core/src/writer/mod.rs
@@ -110,6 +110,9 @@
 pub(crate) struct Writer {
     parts: BTreeMap<(JobId, u32), DirtyMark>,
     blocks: BTreeMap<u32, Block>,
+    /// Sets of blocks among which machines were distributed by a transaction that isn't known to be
+    /// committed. Written one by one, they would leave machines in no block.
+    splits: Vec<BTreeSet<u32>>,
     closing: BTreeMap<JobId, Secs>,
     closed: VecDeque<(JobId, u64)>,
     /// Obsolete records to delete, by key, and their versions.
@@ -153,6 +156,7 @@
         Self {
             parts: BTreeMap::new(),
             blocks: BTreeMap::new(),
+            splits: Vec::new(),
             closing: BTreeMap::new(),
             closed: VecDeque::new(),
             garbage: BTreeMap::new(),
@@ -255,7 +259,10 @@
     /// The number of a block with room for another machine.
     fn block_with_room(&self) -> u32 {
         let limit = self.limits.block_machines();
-        let with_room = self.blocks.iter().find(|(_, block)| block.members.len() < limit);
+        let has_room = |(number, block): &(&u32, &Block)| {
+            block.members.len() < limit && !self.splits.iter().any(|split| split.contains(number))
+        };
+        let with_room = self.blocks.iter().find(has_room);
         with_room.map_or_else(|| self.next_block(), |(number, _)| *number)
     }
 
@@ -264,6 +271,32 @@
         self.blocks.last_key_value().map_or(0, |(number, _)| number + 1)
     }
 
+    /// The blocks that must be written in one transaction with this one, including itself.
+    fn blocks_written_with(&self, number: u32) -> Vec<u32> {
+        let split = self.splits.iter().find(|split| split.contains(&number));
+        split.map_or_else(|| vec![number], |split| split.iter().copied().collect())
+    }
+
+    /// Requires these blocks to be written in one transaction until one that contains them is
+    /// committed.
+    fn write_together(&mut self, numbers: BTreeSet<u32>) {
+        self.splits.retain(|split| split.is_disjoint(&numbers));
+        if numbers.len() > 1 {
+            self.splits.push(numbers);
+        }
+    }
+
+    /// Records that a transaction with this block was committed, and so all those that had to be
+    /// written with it.
+    fn split_committed(&mut self, number: u32) {
+        self.splits.retain(|split| !split.contains(&number));
+    }
+
+    /// Whether a block is in the store, as far as is known.
+    fn is_stored(&self, number: u32) -> bool {
+        self.blocks.get(&number).is_some_and(|block| block.version != 0)
+    }
+
     /// Adds a block that a new leader has loaded.
     pub(crate) fn add_loaded_block(
         &mut self,
--- a/crates/core/tests/cluster/store_limits.rs
+++ b/crates/core/tests/cluster/store_limits.rs
@@ -81,6 +81,25 @@
     }
 }
 
+/// Guards against review/4: a transaction that splits a block of machine records gets no answer, the
+/// leader writes one of the blocks alone and ends, and the next leader starts the tasks of machines
+/// that are in no block. The simulation checks every commit.
+#[test]
+fn machines_of_a_split_block_are_in_one_block_at_every_commit() {
+    let mut faults = vec![(LOWERED_AT - 10, Fault::LateWrites(400))];
+    faults.extend((10..400).step_by(30).map(|at| (LOWERED_AT + at, at_leader(Fault::Crash(0, 8)))));
+    let mut splits = 0;
+    for announced in [true, false] {
+        for seed in 0..12 {
+            let mut world = lowered_limits_world(seed, announced, &faults);
+            world.run(3_000);
+            assert_eq!(world.violations, Vec::<String>::new(), "seed {seed}, {announced}");
+            splits += world.observed.blocks_split;
+        }
+    }
+    assert!(splits >= 24, "only {splits} splits");
+}
+
 /// Guards against 422 for an accepted job whose spec is larger than the limit became later, also at
 /// controllers that have restarted since.
 #[test]
--- a/crates/rehearsal/src/world/mod.rs
+++ b/crates/rehearsal/src/world/mod.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod late_acceptance;
 mod lease_trace;
+mod machine_blocks;
 mod members;
 mod messages;
 mod observations;
@@ -29,6 +30,7 @@
 pub use cascades::{CascadePlan, CascadeTimes};
 pub use faults::{Fault, HoldPlan};
 pub use lease_trace::{HeartbeatAttempt, HeartbeatOutcome, LeaseExpiry, LeaseTrace};
+use machine_blocks::StoredBlocks;
 pub use messages::{CellAnswer, OutgoingCall};
 pub use observations::Observations;
 use repeated_commands::SentCommand;
@@ -96,6 +98,8 @@
     held: Option<(HoldPlan, u32)>,
     /// How direct commands are delivered again, and until when. By default some are in every run.
     repeated: Option<(RepeatPlan, u32)>,
+    /// The blocks of machine records in the store.
+    stored_blocks: StoredBlocks,
     /// The commands sent directly to each machine while they are repeated.
     sent_directly: BTreeMap<MachineId, Vec<SentCommand>>,
     /// Source of the random decisions about repeated commands. Separate, so that runs with and
--- a/crates/rehearsal/src/world/observations.rs
+++ b/crates/rehearsal/src/world/observations.rs
@@ -21,6 +21,8 @@
     pub undelivered_answers: u32,
     /// Steps at which transactions with changes were refused because a condition failed.
     pub conflicts: Vec<u32>,
+    /// Committed transactions that create a block of machine records and change others.
+    pub blocks_split: u32,
     /// Transactions that were executed and whose answer was lost.
     pub answers_lost: u32,
     /// Old heartbeats that reached the controllers after a change of leader.
--- a/crates/rehearsal/src/world/settings.rs
+++ b/crates/rehearsal/src/world/settings.rs
@@ -46,6 +46,7 @@
             cancel_at_end_until: 0,
             held: None,
             repeated: Some((RepeatPlan::USUAL, u32::MAX)),
+            stored_blocks: StoredBlocks::default(),
             sent_directly: BTreeMap::new(),
             repeat_rng: StdRng::seed_from_u64(seed ^ REPEAT_SEED),
             kept_heartbeats: Vec::new(),
--- a/crates/rehearsal/src/world/store.rs
+++ b/crates/rehearsal/src/world/store.rs
@@ -116,6 +116,7 @@
                     let changes = self.recent_changes.iter().map(|(_, n)| n).sum();
                     self.max_changes_per_second = self.max_changes_per_second.max(changes);
                 }
+                self.check_blocks(txn);
                 for w in &txn.writes {
                     match w {
                         Write::Put { key, value, lease } => {
