--- a/crates/core/src/facts.rs
+++ b/crates/core/src/facts.rs
@@ -144,16 +144,6 @@
         objectives.map(|a| a.within_s).reduce(f64::min)
     }
 
-    /// Whether machines are prompted for starts of the class. A machine can be prompted only once in
-    /// half of a lease, so where a class has to start within a heartbeat interval, prompts are
-    /// reserved for such classes.
-    pub fn prompts_for(&self, class: &str) -> bool {
-        let urgent = |class: &str| {
-            self.start_within(class).is_some_and(|within| within < self.heartbeat_interval_s)
-        };
-        urgent(class) || !self.start_objectives.iter().any(|objective| urgent(&objective.class))
-    }
-
     /// The largest deadline multiple of the class's deadline objectives, and at least 1.
     pub fn deadline_times(&self, class: &str) -> f64 {
         let objectives = self.deadline_objectives.iter().filter(|a| a.class == class);
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -216,21 +216,14 @@
         now - self.token_raised_at > timing.lease_s * TOKEN_PROMPT_LEASE_SHARE + WORKER_MARGIN_S
     }
 
-    /// How long a start is likely to wait for its next heartbeat, in seconds. `may_prompt` states
-    /// whether the machine may be prompted to send it.
-    pub fn expected_heartbeat_wait(
-        &self,
-        now: Secs,
-        timing: HeartbeatTiming,
-        may_prompt: bool,
-    ) -> Secs {
+    /// How long a start is likely to wait for its next heartbeat, in seconds.
+    pub fn expected_heartbeat_wait(&self, now: Secs, timing: HeartbeatTiming) -> Secs {
         if self.heartbeat_held {
             return 0.0;
         }
         let Some(last) = self.last_heartbeat else { return timing.interval_s };
         let prompted = self.heartbeat_expected_by > now;
-        let can_prompt =
-            may_prompt && self.direct_in_flight.is_none() && self.token_prompts(now, timing);
+        let can_prompt = self.direct_in_flight.is_none() && self.token_prompts(now, timing);
         let interval =
             if prompted || can_prompt { HEARTBEAT_MIN_INTERVAL_S } else { timing.interval_s };
         (last + interval - now).clamp(0.0, timing.interval_s)
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -144,8 +144,6 @@
     pub ready_since: Secs,
     /// Seconds from `ready_since` within which its tasks should start, if an objective says so.
     pub start_within: Option<Secs>,
-    /// Whether machines are prompted to send a heartbeat for its starts.
-    pub prompts_machines: bool,
     /// Urgency inherited from its dependents.
     inherited: Option<Urgency>,
     /// Machines on which tasks failed since the last success.
@@ -208,7 +206,6 @@
             waits_for_dependencies: false,
             ready_since: arrived,
             start_within: None,
-            prompts_machines: true,
             inherited: None,
             failed_on: BTreeSet::new(),
             successes: 0,
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -298,7 +298,6 @@
         job.cancelled = cancelled;
         job.has_objective = self.facts.aimed(&job.spec().class);
         job.finish_objective_s = self.facts.finish_objective_s(&job.spec().class);
-        job.prompts_machines = self.facts.prompts_for(&job.spec().class);
         job.start_within = self.facts.start_within(&job.spec().class);
         self.cloud_requests.record_arrival(now, job.spec());
         self.log.debug(|| {
--- a/crates/core/src/place/candidates.rs
+++ b/crates/core/src/place/candidates.rs
@@ -120,8 +120,7 @@
     ) -> Option<MachineScore> {
         let spec = self.job.spec();
         let fetch = machine.fetch_time(&spec.image, spec.image_gb, pass.now);
-        let heartbeat_wait =
-            machine.expected_heartbeat_wait(pass.now, pass.heartbeat, self.job.prompts_machines);
+        let heartbeat_wait = machine.expected_heartbeat_wait(pass.now, pass.heartbeat);
         self.images.allows(fetch).then(|| MachineScore {
             failed_before: self.job.has_failed_on(id),
             heard_too_late: self
--- a/crates/core/src/preempt/mod.rs
+++ b/crates/core/src/preempt/mod.rs
@@ -95,8 +95,7 @@
                 continue;
             }
             let Some(victims) = self.choose_victims(pass, machine, &preemptor) else { continue };
-            let heartbeat_wait =
-                machine.expected_heartbeat_wait(pass.now, pass.heartbeat, job.prompts_machines);
+            let heartbeat_wait = machine.expected_heartbeat_wait(pass.now, pass.heartbeat);
             let score = PreemptionScore {
                 start_delay: ((fetch + heartbeat_wait) * 10.0) as u64,
                 wastes_ordinary: spec.spot && !machine.info.spot,
--- a/crates/core/src/prompts.rs
+++ b/crates/core/src/prompts.rs
@@ -54,10 +54,7 @@
     /// commands makes it send a heartbeat. Returns false if that wouldn't.
     pub(crate) fn prompt(&mut self, now: Secs, id: &MachineId) -> bool {
         let Some(m) = self.machines.get(id) else { return false };
-        let waits = m.accepts_starts()
-            && self
-                .unsent_starts(m)
-                .any(|(task, _)| self.jobs.get(&task.job).is_some_and(|job| job.prompts_machines));
+        let waits = m.accepts_starts() && self.unsent_starts(m).next().is_some();
         let can_prompt = waits && m.token_prompts(now, self.facts.heartbeat_timing());
         if !waits && let Some(m) = self.machines.get_mut(id) {
             m.prompt_due = false;
