Prompt no machine right after an answer to it left

A prompt shows a higher token. Had it overtaken the answer, the worker would have discarded the answer, with the renewal and the starts in it. Found by reading; not seen in a run.

--- a/crates/core/src/worker_commands.rs
+++ b/crates/core/src/worker_commands.rs
@@ -67,6 +67,8 @@
         commands.extend(self.starts(now, id, room));
         if let Some(m) = self.machines.get_mut(id) {
             m.direct_send_due = false;
+            // A higher token that overtook the answer would make its worker discard it.
+            m.next_prompt_at = m.next_prompt_at.max(now + WORKER_MARGIN_S);
         }
         self.log_commands(id, &commands);
         commands
